Add the thin whole path as separate processes

Change: entry node (wrenloft), agent (wrenloft-agent), shared core, messages, decisions as plain functions, and stand-ins of the platform. A configuration lands in the key-value service, the owner of a model's shard orders the chosen hosts, agents fetch chunks from the origin under permits and from one another, and callers are answered through any entry node. Keyed requests are claimed in the service before they are sent.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+WEIGHTS ?=
+HOSTS ?= 24
+GOAL ?= time
+
+.PHONY: demo test lint types unit generate bench-weights bench-requests bench-control
+
+$(READY): constraints.txt requirements-build.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -r requirements-build.txt
+	$(BIN)/python -m pip install -q --no-build-isolation -c constraints.txt -r requirements-dev.txt
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m wrenloft_standins.demo $(if $(WEIGHTS),--weights $(WEIGHTS))
+
+test: lint types unit
+
+lint: $(READY)
+	$(BIN)/black -q --check .
+	$(BIN)/ruff check -q .
+
+types: $(READY)
+	$(BIN)/mypy packages/*/src
+
+unit: $(READY)
+	$(BIN)/python -m pytest
+
+bench-weights: $(READY)
+	$(BIN)/python bench/weights.py --hosts $(HOSTS) --goal $(GOAL)
+
+bench-requests: $(READY)
+	$(BIN)/python bench/requests.py
+
+bench-control: $(READY)
+	$(BIN)/python bench/control.py
+
+generate: $(READY)
+	cd packages/wrenloft-messages/src && PATH=$(abspath $(BIN)):$$PATH $(abspath $(BIN))/python -m \
+		grpc_tools.protoc -I. --python_out=. --grpc_python_out=. --mypy_out=. --mypy_grpc_out=. \
+		wrenloft_messages/wrenloft.proto
--- /dev/null
+++ b/packages/wrenloft-core/src/wrenloft_core/_ids.py
@@ -0,0 +1,29 @@
+"""Ids and the hash that maps them to shards."""
+
+import secrets
+from typing import NewType
+
+from blake3 import blake3
+
+AgentId = NewType("AgentId", str)
+ChunkDigest = NewType("ChunkDigest", str)
+ModelName = NewType("ModelName", str)
+NodeId = NewType("NodeId", str)
+OrganisationName = NewType("OrganisationName", str)
+PlaceName = NewType("PlaceName", str)
+RegionName = NewType("RegionName", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+ServiceName = NewType("ServiceName", str)
+ShardNumber = NewType("ShardNumber", int)
+VersionDigest = NewType("VersionDigest", str)
+
+
+def make_request_id() -> RequestId:
+    """Return an id that no other request has, from the system's entropy."""
+    return RequestId(secrets.token_hex(12))
+
+
+def pick_shard(name: str, shard_count: int) -> ShardNumber:
+    """Map a name to one of ``shard_count`` shards, the same in every process."""
+    return ShardNumber(int.from_bytes(blake3(name.encode()).digest(8), "big") % shard_count)
--- /dev/null
+++ b/packages/wrenloft-core/src/wrenloft_core/_settings.py
@@ -0,0 +1,44 @@
+"""Settings files: TOML, checked whole, every fault named at once."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+import cattrs
+from cattrs import transform_error
+
+from wrenloft_core._errors import SettingsError
+
+T = TypeVar("T")
+
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+
+
+def structure_settings(fields: Mapping[str, Any], kind: type[T], *, source: str) -> T:
+    """Turn plain values into a settings class.
+
+    :param source: the file or section named in the error.
+    :raises SettingsError: with one line per fault.
+    """
+    try:
+        return _CONVERTER.structure(fields, kind)
+    except Exception as error:
+        faults = "; ".join(_name_fault(line) for line in transform_error(error, path=source))
+        raise SettingsError(faults, step="check-settings", peer=source) from error
+
+
+def read_settings(path: Path, kind: type[T]) -> T:
+    """Read and check one settings file.
+
+    :raises SettingsError: if it can't be read, is no TOML, or holds a wrong value.
+    """
+    try:
+        fields = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(str(error), step="read-settings", peer=str(path)) from error
+    return structure_settings(fields, kind, source=str(path))
+
+
+def _name_fault(line: str) -> str:
+    return line.replace("@ ", "at ")
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_ejection.py
@@ -0,0 +1,68 @@
+"""Leaving out runners that fail, but never all of them."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from wrenloft_core import AgentId
+
+
+@dataclass(frozen=True, slots=True)
+class EjectionRule:
+    """When a runner is left out.
+
+    :param failures: failures in a row.
+    :param seconds: for how long, doubled by each ejection in a row.
+    :param longest: the most seconds.
+    :param floor: the least fraction of runners always kept.
+    """
+
+    failures: int = 2
+    seconds: float = 1.0
+    longest: float = 30.0
+    floor: float = 0.5
+
+
+@dataclass(slots=True)
+class _History:
+    failures: int = 0
+    ejections: int = 0
+    until: float = 0.0
+
+
+class Ejections:
+    """Failures seen by this node, by runner."""
+
+    def __init__(self, rule: EjectionRule = EjectionRule()) -> None:
+        self._rule = rule
+        self._histories: dict[AgentId, _History] = {}
+
+    def record_success(self, agent_id: AgentId) -> None:
+        """Forget the runner's failures."""
+        self._histories.pop(agent_id, None)
+
+    def record_failure(self, agent_id: AgentId, now: float) -> None:
+        """Count a failure to connect or to answer."""
+        history = self._histories.setdefault(agent_id, _History())
+        history.failures += 1
+        if history.failures >= self._rule.failures:
+            pause = min(self._rule.longest, self._rule.seconds * 2**history.ejections)
+            history.until = now + pause
+            history.ejections += 1
+            history.failures = 0
+
+    def filter(self, agent_ids: Sequence[AgentId], now: float) -> set[AgentId]:
+        """Return the runners to use.
+
+        If too many are ejected, the fault lies more likely with this node's own link than with
+        all runners; then those whose ejection ends first are kept, so that requests go on.
+        """
+        kept = [each for each in agent_ids if self._until(each) <= now]
+        least = -(-len(agent_ids) * self._rule.floor // 1)
+        ejected = sorted((each for each in agent_ids if self._until(each) > now), key=self._until)
+        while len(kept) < least and ejected:
+            kept.append(ejected.pop(0))
+        return set(kept)
+
+    def _until(self, agent_id: AgentId) -> float:
+        history = self._histories.get(agent_id)
+        return history.until if history else 0.0
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_placement.py
@@ -0,0 +1,72 @@
+"""Which hosts carry a model."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from blake3 import blake3
+
+from wrenloft_core import AgentId, ModelName, PlaceName, Selector
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """What is known of one host, for placement.
+
+    :param serves: whether it serves any version of the model now.
+    :param held: part of the wanted version's chunks that it holds, 0 to 1.
+    :param others: how many other models it carries.
+    """
+
+    agent_id: AgentId
+    place: PlaceName
+    labels: Mapping[str, str]
+    leaving: bool = False
+    serves: bool = False
+    held: float = 0.0
+    others: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A host and why it was chosen."""
+
+    agent_id: AgentId
+    reason: str
+
+
+def matches(selector: Selector, labels: Mapping[str, str]) -> bool:
+    """Tell whether labels satisfy a selector; an empty selector matches everything."""
+    return all(labels.get(name) in values for name, values in selector.items())
+
+
+def choose_hosts(
+    model: ModelName, selector: Selector, replicas: int, hosts: Sequence[Host]
+) -> list[Placed]:
+    """Choose the hosts of a model, one at a time.
+
+    Each next host comes from the place with the fewest so far; within a place those that serve
+    or hold most come first, so that little moves when hosts come and go.
+    """
+    allowed = [each for each in hosts if not each.leaving and matches(selector, each.labels)]
+    remaining = {each.agent_id: each for each in allowed}
+    by_place: Counter[PlaceName] = Counter()
+    placed: list[Placed] = []
+    while remaining and len(placed) < replicas:
+        best = min(remaining.values(), key=lambda each: _rank(model, each, by_place))
+        del remaining[best.agent_id]
+        placed.append(Placed(best.agent_id, _explain(best, by_place, len(allowed))))
+        by_place[best.place] += 1
+    return placed
+
+
+def _rank(
+    model: ModelName, host: Host, by_place: Counter[PlaceName]
+) -> tuple[int, bool, float, int, bytes]:
+    tie = blake3(f"{model}/{host.agent_id}".encode()).digest(8)
+    return by_place[host.place], not host.serves, -host.held, host.others, tie
+
+
+def _explain(host: Host, by_place: Counter[PlaceName], allowed: int) -> str:
+    kept = "serves it already" if host.serves else f"holds {host.held:.0%}"
+    return f"{kept}; {by_place[host.place]} before it in {host.place}; {allowed} hosts allowed"
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_runners.py
@@ -0,0 +1,109 @@
+"""The choice of a runner for one request."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from wrenloft_core import AgentId, PlaceName, RegionName
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """What a node knows of one runner that could take a request.
+
+    :param capacity: requests that the runner works on at once.
+    :param reported: requests running and waiting, as last reported.
+    :param sent_since: requests that this node sent since that report, less those that ended.
+    :param own: requests of this node in progress there.
+    :param ready_seconds: for how long the runner has been ready.
+    :param cached: whether the request's prefix is believed to be cached there.
+    """
+
+    agent_id: AgentId
+    place: PlaceName
+    region: RegionName
+    capacity: int
+    reported: int
+    sent_since: int
+    own: int
+    ready_seconds: float
+    cached: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Weights:
+    """How much each hint counts, in units of a runner's whole capacity."""
+
+    other_place: float = 0.05
+    other_region: float = 0.15
+    cached: float = 0.20
+    slow_start: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """A runner and why it was taken."""
+
+    agent_id: AgentId
+    reason: str
+
+
+DEFAULT_WEIGHTS = Weights()
+_SLOW_START_FLOOR = 0.1
+
+
+def estimate_load(candidate: Candidate) -> int:
+    """Estimate the requests at a runner now.
+
+    A report is up to a second old. Without the requests sent since, every node sends its whole
+    burst to the runner that was idle at the last report, and its queue grows while others idle.
+    """
+    return max(candidate.own, candidate.reported + candidate.sent_since)
+
+
+def score(
+    candidate: Candidate, place: PlaceName, region: RegionName, weights: Weights = DEFAULT_WEIGHTS
+) -> float:
+    """Return how loaded a candidate is, in units of its capacity; lower is better."""
+    warmth = min(1.0, max(_SLOW_START_FLOOR, candidate.ready_seconds / weights.slow_start))
+    result = (estimate_load(candidate) + 1) / (max(1, candidate.capacity) * warmth)
+    if candidate.region != region:
+        result += weights.other_region
+    elif candidate.place != place:
+        result += weights.other_place
+    if candidate.cached:
+        result -= weights.cached
+    return result
+
+
+def choose_runner(
+    candidates: Sequence[Candidate],
+    place: PlaceName,
+    region: RegionName,
+    random: Random,
+    weights: Weights = DEFAULT_WEIGHTS,
+) -> Chosen | None:
+    """Take the better of two random candidates.
+
+    :returns: ``None`` if there are no candidates.
+    """
+    if not candidates:
+        return None
+    pair = random.sample(candidates, 2) if len(candidates) > 2 else list(candidates)
+    scores = {each.agent_id: score(each, place, region, weights) for each in pair}
+    best = min(pair, key=lambda each: scores[each.agent_id])
+    compared = ", ".join(f"{agent}={value:.2f}" for agent, value in scores.items())
+    return Chosen(best.agent_id, f"lowest score of {compared}")
+
+
+def choose_random(candidates: Sequence[Candidate], random: Random) -> Chosen | None:
+    """Take any candidate: a baseline for measurements."""
+    return Chosen(random.choice(candidates).agent_id, "random") if candidates else None
+
+
+def choose_least_reported(candidates: Sequence[Candidate]) -> Chosen | None:
+    """Take the lowest reported load: a baseline for measurements."""
+    if not candidates:
+        return None
+    best = min(candidates, key=lambda each: each.reported / max(1, each.capacity))
+    return Chosen(best.agent_id, "least reported load")
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_swarm.py
@@ -0,0 +1,122 @@
+"""How chunks spread: permits for the origin, neighbours, and the next chunk to fetch."""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from blake3 import blake3
+
+from wrenloft_core import AgentId, PlaceName, RegionName
+
+MAX_NEIGHBOURS = 16
+_NEAR_NEIGHBOURS = 10
+_SAMPLE = 48
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Leave to fetch one chunk from the origin.
+
+    :param not_before: seconds after the order's arrival before which the origin is not asked.
+    """
+
+    chunk: int
+    not_before: float
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """A neighbour as the fetcher sees it.
+
+    :param busy: chunks being fetched from it.
+    :param distance: 0 for the same place, 1 for the same region, 2 beyond.
+    """
+
+    agent_id: AgentId
+    held: Collection[int]
+    busy: int
+    distance: int
+
+
+def grant_permits(
+    chunks: Sequence[int],
+    sizes: Sequence[int],
+    hosts: Sequence[AgentId],
+    origin_rate: float,
+) -> dict[AgentId, list[Permit]]:
+    """Hand each chunk to a different first host, spaced as the origin's link carries them.
+
+    Asked for all at once, the origin's link divides over all hosts, and nobody has a whole
+    chunk to pass on until as many as there are hosts have arrived. Spaced, the first whole
+    chunk is there after one chunk's time on the link.
+    """
+    permits: dict[AgentId, list[Permit]] = {each: [] for each in hosts}
+    at = 0.0
+    for index, chunk in enumerate(chunks):
+        permits[hosts[index % len(hosts)]].append(Permit(chunk, at))
+        at += sizes[chunk] / origin_rate
+    return permits
+
+
+def pick_neighbours(
+    agent_id: AgentId,
+    places: Mapping[AgentId, tuple[PlaceName, RegionName]],
+    limit: int = MAX_NEIGHBOURS,
+) -> list[AgentId]:
+    """Pick the hosts to fetch from: most from near, the rest from anywhere.
+
+    The choice is a hash of the pair, so that every owner picks the same, and few change when
+    hosts come and go.
+    """
+    own = places[agent_id]
+    others = [each for each in places if each != agent_id]
+    if len(others) <= limit:
+        return others
+
+    def tie(other: AgentId) -> bytes:
+        return blake3("/".join(sorted((agent_id, other))).encode()).digest(8)
+
+    def distance(other: AgentId) -> int:
+        return _measure_distance(own, places[other])
+
+    near = sorted(others, key=lambda each: (distance(each), tie(each)))[:_NEAR_NEIGHBOURS]
+    far = sorted((each for each in others if each not in near), key=tie)
+    return near + far[: limit - len(near)]
+
+
+def _measure_distance(
+    one: tuple[PlaceName, RegionName], other: tuple[PlaceName, RegionName]
+) -> int:
+    if one[0] == other[0]:
+        return 0
+    return 1 if one[1] == other[1] else 2
+
+
+def choose_chunk(
+    missing: Sequence[int], sources: Sequence[Source], random: Random, busy_limit: int
+) -> tuple[int, AgentId] | None:
+    """Choose the next chunk to fetch and whom to ask: the rarest, from the idlest, near first.
+
+    Only a random sample is looked at, so that hosts differ in what they take next and the cost
+    does not grow with the model.
+
+    :returns: ``None`` if nothing that is missing can be had now.
+    """
+    free = [each for each in sources if each.busy < busy_limit]
+    if not free:
+        return None
+    sample = missing if len(missing) <= _SAMPLE else random.sample(missing, _SAMPLE)
+    best: tuple[tuple[int, float], int] | None = None
+    for chunk in sample:
+        holders = sum(chunk in each.held for each in sources)
+        if not any(chunk in each.held for each in free):
+            continue
+        rank = (holders, random.random())
+        if best is None or rank < best[0]:
+            best = (rank, chunk)
+    if best is None:
+        return None
+    chunk = best[1]
+    able = [each for each in free if chunk in each.held]
+    source = min(able, key=lambda each: (each.busy, each.distance, random.random()))
+    return chunk, source.agent_id
--- /dev/null
+++ b/packages/wrenloft/src/wrenloft/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: ``python -m wrenloft``."""
+
+from wrenloft._cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/wrenloft/src/wrenloft/callers/__init__.py
@@ -0,0 +1,9 @@
+"""Callers: their requests, the choice of a runner, and what they are answered."""
+
+from wrenloft.callers._application import CallerRoutes
+from wrenloft.callers._authentication import Authenticator
+from wrenloft.callers._keyed import KeyedRuns
+from wrenloft.callers._router import ChooseRunner, Router
+from wrenloft.callers._runs import Runner
+
+__all__ = ["Authenticator", "CallerRoutes", "ChooseRunner", "KeyedRuns", "Router", "Runner"]
