--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(BIN)/mypy packages/*/src
 
 unit: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 bench-weights: $(READY)
 	$(BIN)/python bench/weights.py --hosts $(HOSTS) --goal $(GOAL)
--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -40,6 +40,8 @@
     ShardNumber,
     VersionDigest,
     make_request_id,
+    name_model,
+    name_request,
     pick_shard,
 )
 from wrenloft_core._logs import decide, set_up_logs
@@ -92,6 +94,8 @@
     "make_request_id",
     "matches_digest",
     "matches_secret",
+    "name_model",
+    "name_request",
     "parse_configuration",
     "pick_shard",
     "read_settings",
--- a/packages/wrenloft-core/src/wrenloft_core/_ids.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_ids.py
@@ -27,3 +27,13 @@
 def pick_shard(name: str, shard_count: int) -> ShardNumber:
     """Map a name to one of ``shard_count`` shards, the same in every process."""
     return ShardNumber(int.from_bytes(blake3(name.encode()).digest(8), "big") % shard_count)
+
+
+def name_request(organisation: str, key: str) -> str:
+    """Return the name whose hash is a keyed request's shard."""
+    return f"request/{organisation}/{key}"
+
+
+def name_model(model: ModelName) -> str:
+    """Return the name whose hash is a model's shard."""
+    return f"model/{model}"
--- a/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
@@ -60,6 +60,13 @@
         :raises TimeoutError: if it does not end in time.
         """
         self.send(signal.SIGTERM)
+        return await self.wait(seconds)
+
+    async def wait(self, seconds: float = _STOP_SECONDS) -> int:
+        """Wait for it to end by itself, and return its exit code.
+
+        :raises TimeoutError: if it does not end in time.
+        """
         async with asyncio.timeout(seconds):
             return await self.handle.wait()
 
--- a/packages/wrenloft-standins/src/wrenloft_standins/demo.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/demo.py
@@ -14,14 +14,16 @@
 from pathlib import Path
 from typing import Any
 
-from aiohttp import ClientError
-
-from wrenloft_core import Header, digest_bytes, hash_key
+from wrenloft_core import digest_bytes, hash_key
 from wrenloft_standins import (
+    CHAT,
     ENGINES,
     SERVICES,
+    Caller,
     Deployment,
+    Question,
     Weights,
+    ask_model,
     make_weights,
     open_fleet,
     read_weights,
@@ -35,7 +37,6 @@
 _LOAD_SECONDS = 12.0
 _ORGANISATIONS = 20
 _PAUSE = 0.02
-_CHAT = "/v1/chat/completions"
 
 
 @dataclass(slots=True)
@@ -49,95 +50,21 @@
     written: list[str] = field(default_factory=list)
 
 
-class Caller:
-    """A caller that asks which addresses to use and tries the next one if it may."""
-
-    def __init__(self, deployment: Deployment, key: str, tally: Tally) -> None:
-        self._deployment = deployment
-        self._key = key
-        self._tally = tally
-        self._addresses: list[str] = []
-        self._keep_until = 0.0
-
-    async def _list_addresses(self) -> list[str]:
-        if time.monotonic() > self._keep_until:
-            for node in self._deployment.nodes:
-                try:
-                    async with self._deployment.fleet.session.get(
-                        f"http://{node.http}/v1/entry",
-                        headers={"Authorization": f"Bearer {self._key}"},
-                    ) as response:
-                        listed = await response.json()
-                except ClientError:
-                    continue
-                self._addresses = listed["addresses"]
-                self._keep_until = time.monotonic() + listed["keep_seconds"]
-                break
-        return self._addresses
-
-    async def ask(
-        self,
-        method: str,
-        path: str,
-        fields: dict[str, Any] | None,
-        priority: str,
-        *,
-        key: str = "",
-        idempotent: bool = True,
-    ) -> bytes | None:
-        """Ask until the outcome is done or nothing more may be tried."""
-        headers = {
-            "Authorization": f"Bearer {self._key}",
-            Header.PRIORITY: priority,
-            "Content-Type": "application/json",
-        }
-        if key:
-            headers[Header.IDEMPOTENCY_KEY] = key
-        elif idempotent:
-            headers[Header.IDEMPOTENT] = "true"
-        started = time.monotonic()
-        outcome = "lost"
-        for _ in range(30):
-            for address in await self._list_addresses():
-                outcome, body, retry = await self._try(address, method, path, fields, headers)
-                if outcome == "done":
-                    spent = time.monotonic() - started
-                    self._tally.seconds.setdefault(priority, []).append(spent)
-                    self._tally.outcomes[priority, outcome] += 1
-                    return body
-                if not retry or not (key or idempotent or outcome in ("not-run", "refused")):
-                    break
-            await asyncio.sleep(0.3)
-            self._keep_until = 0.0
-        self._tally.outcomes[priority, outcome] += 1
-        if outcome == "lost":
-            self._tally.lost += 1
-        return None
-
-    async def _try(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        fields: dict[str, Any] | None,
-        headers: dict[str, str],
-    ) -> tuple[str, bytes, bool]:
-        session = self._deployment.fleet.session
-        try:
-            async with session.request(
-                method, f"http://{address}{path}", json=fields, headers=headers
-            ) as response:
-                body = await response.read()
-        except ClientError:
-            return "lost", b"", True
-        outcome = response.headers.get(Header.OUTCOME, "lost")
-        if outcome == "done" and path.startswith("/v1/chat"):
-            request_id = response.headers[Header.REQUEST_ID].encode()
-            if request_id not in body:
-                self._tally.crossed += 1
-            if fields and fields.get("stream") and not body.rstrip().endswith(b"data: [DONE]"):
-                self._tally.lost += 1
-        return outcome, body, True
+async def ask(caller: Caller, question: Question, tally: Tally) -> None:
+    """Ask, and note the outcome and whether the answer is whole and the caller's own."""
+    started = time.monotonic()
+    reply = await caller.ask(question)
+    tally.outcomes[question.priority, reply.outcome] += 1
+    if reply.outcome == "lost":
+        tally.lost += 1
+    if reply.outcome != "done":
+        return
+    tally.seconds.setdefault(question.priority, []).append(time.monotonic() - started)
+    if question.path != CHAT:
+        return
+    tally.crossed += reply.request_id.encode() not in reply.body
+    if question.fields and question.fields.get("stream"):
+        tally.lost += not reply.body.rstrip().endswith(b"data: [DONE]")
 
 
 def write_configuration(weights: dict[str, Weights]) -> str:
@@ -200,7 +127,14 @@
 async def send_load(deployment: Deployment, tally: Tally, seconds: float) -> None:
     """Send alarms, reports and keyed writes for a while."""
     generator = random.Random(7)
-    callers = [Caller(deployment, f"key-{number}", tally) for number in range(_ORGANISATIONS)]
+    callers = [
+        Caller(
+            deployment.fleet.session,
+            f"key-{number}",
+            lambda: [node.http for node in deployment.nodes],
+        )
+        for number in range(_ORGANISATIONS)
+    ]
     until = time.monotonic() + seconds
     running: set[asyncio.Task[Any]] = set()
     count = 0
@@ -218,29 +152,21 @@
 ) -> None:
     """Send one request of the mix."""
     if count % 10 == 0:
-        await callers[0].ask("POST", _CHAT, build_question("cave-watch", f"door {count}"), "alarm")
+        alarm = ask_model("cave-watch", f"door {count}", priority="alarm")
+        await ask(callers[0], alarm, tally)
     elif count % 5 == 0:
-        note = f"note {count}"
-        tally.written.append(json.dumps({"note": note}))
-        await callers[0].ask(
-            "POST",
-            "/v1/services/sklad-app/notes",
-            {"note": note},
-            "interactive",
-            key=note,
-            idempotent=False,
-        )
+        note = {"note": f"note {count}"}
+        tally.written.append(json.dumps(note))
+        path = "/v1/services/sklad-app/notes"
+        await ask(callers[0], Question("POST", path, note, key=f"note {count}"), tally)
     else:
-        question = build_question("majster-llm", f"report {count}")
-        question["stream"] = count % 2 == 0
-        question["max_tokens"] = generator.randint(8, 64)
-        caller = callers[generator.randrange(len(callers))]
-        await caller.ask("POST", _CHAT, question, "interactive")
-
-
-def build_question(model: str, text: str) -> dict[str, Any]:
-    """Return the body of a chat completion."""
-    return {"model": model, "messages": [{"role": "user", "content": text}]}
+        report = ask_model(
+            "majster-llm",
+            f"report {count}",
+            stream=count % 2 == 0,
+            max_tokens=generator.randint(8, 64),
+        )
+        await ask(callers[generator.randrange(len(callers))], report, tally)
 
 
 async def wait_for_replicas(deployment: Deployment, name: str, wanted: int) -> float:
--- a/packages/wrenloft/src/wrenloft/_node.py
+++ b/packages/wrenloft/src/wrenloft/_node.py
@@ -141,6 +141,7 @@
             self._configurations,
             self._describe,
             self._router.demand,
+            seeds=settings.peers,
             secret=settings.secret,
             heartbeat_seconds=settings.heartbeat_seconds,
             random=self._random,
@@ -182,6 +183,7 @@
             self._describe,
             self.stop.set,
             settings.operator_key,
+            settings.shard_count,
         )
 
     def _describe(self) -> messages.NodeRecord:
--- a/packages/wrenloft/src/wrenloft/_settings.py
+++ b/packages/wrenloft/src/wrenloft/_settings.py
@@ -1,6 +1,6 @@
 """The entry node's settings."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -9,6 +9,7 @@
 
     :param name: the host's name; the id adds what tells one process from the next.
     :param keyvalue: addresses of the key-value service.
+    :param peers: gRPC addresses of other entry nodes, used until the service names them.
     :param secret: shared by wrenloft's own processes.
     :param operator_key: digest of the operators' key.
     :param lease_seconds: time to live of the node's lease.
@@ -28,6 +29,7 @@
     secret: str
     operator_key: str
     origin: str = ""
+    peers: list[str] = field(default_factory=list)
     host: str = "127.0.0.1"
     http_port: int = 0
     grpc_port: int = 0
--- a/packages/wrenloft/src/wrenloft/agents/_planner.py
+++ b/packages/wrenloft/src/wrenloft/agents/_planner.py
@@ -22,6 +22,7 @@
     VersionDigest,
     WrenloftError,
     decide,
+    name_model,
     pick_shard,
 )
 from wrenloft_messages import messages, services
@@ -105,13 +106,13 @@
         models = self._configurations.current.models
         work = []
         for name, model in models.items():
-            owned = self._shards.get(pick_shard(f"model/{name}", self._shard_count))
+            owned = self._shards.get(pick_shard(name_model(name), self._shard_count))
             if owned is None:
                 self._plans.pop(name, None)
             else:
                 work.append(self._plan_safely(name, model, owned))
         for name in self._list_removed(models):
-            owned = self._shards.get(pick_shard(f"model/{name}", self._shard_count))
+            owned = self._shards.get(pick_shard(name_model(name), self._shard_count))
             if owned is not None:
                 plan = _Plan(name, VersionDigest(""), owned.epoch)
                 work.append(self._withdraw(name, plan, owned))
--- a/packages/wrenloft/src/wrenloft/nodes/_heartbeats.py
+++ b/packages/wrenloft/src/wrenloft/nodes/_heartbeats.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -11,7 +11,7 @@
 
 from wrenloft._view import View
 from wrenloft.platform import ConfigurationStore, HistoryEntry, Membership
-from wrenloft_core import AgentId, ConfigurationError, Header, NodeId
+from wrenloft_core import AgentId, ConfigurationError, Header
 from wrenloft_messages import messages, services
 
 _LOG = logging.getLogger(__name__)
@@ -32,6 +32,7 @@
     """Talks to every other node that is registered or known from its messages.
 
     :param describe: returns this node's present record.
+    :param seeds: addresses to try besides those of registered nodes.
     :param demand: returns this node's requests a second, by organisation.
     """
 
@@ -43,6 +44,7 @@
         describe: Callable[[], messages.NodeRecord],
         demand: Callable[[], dict[str, float]],
         *,
+        seeds: Sequence[str],
         secret: str,
         heartbeat_seconds: float,
         random: Random,
@@ -55,7 +57,8 @@
         self._metadata = ((Header.SECRET.lower(), secret),)
         self._heartbeat_seconds = heartbeat_seconds
         self._random = random
-        self._tasks: dict[NodeId, asyncio.Task[None]] = {}
+        self._seeds = frozenset(seeds)
+        self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def follow_members(self) -> None:
         """Keep one task for each other node, until cancelled."""
@@ -88,16 +91,14 @@
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
     def _match_tasks(self) -> None:
-        addresses = {
-            node_id: peer.record.grpc_address for node_id, peer in self._view.peers.items()
-        }
-        registered = self._membership.tables.nodes.values()
-        addresses.update({each.node_id: each.grpc_address for each in registered})
-        addresses.pop(self._membership.node_id, None)
-        for node_id in self._tasks.keys() - addresses.keys():
-            self._tasks.pop(node_id).cancel()
-        for node_id in addresses.keys() - self._tasks.keys():
-            self._tasks[node_id] = asyncio.create_task(self._talk(addresses[node_id]))
+        addresses = {each.record.grpc_address for each in self._view.peers.values()}
+        addresses |= {each.grpc_address for each in self._membership.tables.nodes.values()}
+        addresses |= self._seeds
+        addresses.discard(self._describe().grpc_address)
+        for address in self._tasks.keys() - addresses:
+            self._tasks.pop(address).cancel()
+        for address in addresses - self._tasks.keys():
+            self._tasks[address] = asyncio.create_task(self._talk(address))
 
     async def _talk(self, address: str) -> None:
         told = _Told()
--- a/packages/wrenloft/src/wrenloft/operators/_application.py
+++ b/packages/wrenloft/src/wrenloft/operators/_application.py
@@ -20,7 +20,10 @@
     Revision,
     join_sections,
     matches_digest,
+    name_model,
+    name_request,
     parse_configuration,
+    pick_shard,
     split_sections,
 )
 from wrenloft_messages import messages
@@ -46,6 +49,7 @@
         describe: Callable[[], messages.NodeRecord],
         drain: Callable[[], None],
         key_digest: str,
+        shard_count: int,
     ) -> None:
         self._view = view
         self._membership = membership
@@ -53,6 +57,7 @@
         self._describe = describe
         self._drain = drain
         self._key_digest = key_digest
+        self._shard_count = shard_count
 
     def routes(self) -> list[web.RouteDef]:
         """Return the operators' routes."""
@@ -63,6 +68,8 @@
             web.get(f"{_PREFIX}/history", self._guard(self._list_history)),
             web.get(f"{_PREFIX}/status", self._guard(self._show_status)),
             web.get(f"{_PREFIX}/explain/{{model}}", self._guard(self._explain)),
+            web.get(f"{_PREFIX}/owner/{{organisation}}/{{key}}", self._guard(self._find_key_owner)),
+            web.get(f"{_PREFIX}/owner-of-model/{{model}}", self._guard(self._find_model_owner)),
             web.post(f"{_PREFIX}/drain", self._guard(self._begin_drain)),
         ]
 
@@ -164,6 +171,22 @@
             "hosts": explain_model(self._view, self._configurations.current, name, now),
         }
 
+    async def _find_key_owner(self, request: web.Request) -> dict[str, Any]:
+        organisation, key = request.match_info["organisation"], request.match_info["key"]
+        return self._describe_owner(name_request(organisation, key))
+
+    async def _find_model_owner(self, request: web.Request) -> dict[str, Any]:
+        return self._describe_owner(name_model(ModelName(request.match_info["model"])))
+
+    def _describe_owner(self, name: str) -> dict[str, Any]:
+        shard = pick_shard(name, self._shard_count)
+        record = self._membership.tables.shards.get(shard)
+        return {
+            "shard": shard,
+            "owner": record.owner if record else "",
+            "epoch": record.epoch if record else 0,
+        }
+
     async def _begin_drain(self, _: web.Request) -> dict[str, Any]:
         self._drain()
         return {"draining": True}
--- a/packages/wrenloft/src/wrenloft/platform/_requests.py
+++ b/packages/wrenloft/src/wrenloft/platform/_requests.py
@@ -11,7 +11,7 @@
 from wrenloft.platform._keys import name_segments, name_shard
 from wrenloft.platform._keyvalue import Absent, Condition, KeyValueClient, Put, Unchanged
 from wrenloft.platform._shards import OwnedShard
-from wrenloft_core import PlatformUnavailableError, ShardNumber, pick_shard
+from wrenloft_core import PlatformUnavailableError, ShardNumber, name_request, pick_shard
 from wrenloft_messages import messages
 
 _LOG = logging.getLogger(__name__)
@@ -96,7 +96,7 @@
 
     def shard_of(self, organisation: str, key: str) -> ShardNumber:
         """Return the shard of a keyed request."""
-        return pick_shard(f"request/{organisation}/{key}", self._shard_count)
+        return pick_shard(name_request(organisation, key), self._shard_count)
 
     async def load(self, owned: OwnedShard) -> None:
         """Read a claimed shard's records; called before it counts as owned."""
--- a/packages/wrenloft/src/wrenloft/platform/_shards.py
+++ b/packages/wrenloft/src/wrenloft/platform/_shards.py
@@ -1,8 +1,9 @@
 """Claiming, holding and handing over shards."""
 
+import asyncio
 import json
 import logging
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from wrenloft.platform._keys import name_node, name_shard
@@ -12,7 +13,7 @@
 from wrenloft_policy import choose_owner
 
 _LOG = logging.getLogger(__name__)
-_CLAIMS_PER_COMMIT = 40
+_CALLS_AT_ONCE = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,20 +71,19 @@
             await self._membership.polled.wait()
             if not self._membership.holds_lease():
                 continue
-            try:
-                self._compare()
-                await self._hand_over()
-                await self._claim()
-            except PlatformUnavailableError as error:
-                _LOG.warning("shards not balanced: %s", error)
+            self._compare()
+            await self._hand_over()
+            await self._claim()
 
     async def release_all(self) -> None:
         """Hand every shard back, so that others claim at once."""
         self.draining = True
-        try:
-            await self._release(list(self._owned.values()))
-        except PlatformUnavailableError as error:
-            _LOG.warning("shards not released, the lease will lapse: %s", error)
+        await self._release(
+            {
+                each.number: ShardRecord(self._membership.node_id, each.epoch, each.mod_revision)
+                for each in self._owned.values()
+            }
+        )
 
     def _wanted_owner(self, number: ShardNumber) -> NodeId | None:
         nodes = self._membership.tables.nodes.keys() - set(self.draining_peers())
@@ -106,35 +106,46 @@
                 self.lose(number)
 
     async def _hand_over(self) -> None:
-        tables = self._membership.tables
-        moved = [
-            each
-            for each in self._owned.values()
-            if self._wanted_owner(each.number) not in (None, self._membership.node_id)
-            and each.number in tables.shards
-        ]
-        if moved:
-            await self._release(moved)
-
-    async def _release(self, owned: list[OwnedShard]) -> None:
-        for each in owned:
-            self.lose(each.number)
-        for start in range(0, len(owned), _CLAIMS_PER_COMMIT):
-            part = owned[start : start + _CLAIMS_PER_COMMIT]
-            conditions = [Unchanged(name_shard(each.number), each.mod_revision) for each in part]
-            puts = [Put(name_shard(each.number), _encode(NodeId(""), each.epoch)) for each in part]
-            await self._keyvalue.commit(conditions, puts)
+        """Release every shard in this node's name that another node should own.
+
+        The table decides, not memory: the reply to an earlier release may have been lost though
+        nothing was written, and the shard would stay in the name of a node that has let go of
+        it, with nobody allowed to claim it.
+        """
+        own = self._membership.node_id
+        moved = {
+            number: record
+            for number, record in self._membership.tables.shards.items()
+            if record.owner == own and self._wanted_owner(number) not in (None, own)
+        }
+        await self._release(moved)
+
+    async def _release(self, records: Mapping[ShardNumber, ShardRecord]) -> None:
+        for number in records:
+            self.lose(number)
+        await _gather_bounded(
+            self._release_one(number, record) for number, record in records.items()
+        )
+
+    async def _release_one(self, number: ShardNumber, record: ShardRecord) -> None:
+        key = name_shard(number)
+        put = Put(key, _encode(NodeId(""), record.epoch))
+        try:
+            await self._keyvalue.commit([Unchanged(key, record.mod_revision)], [put])
+        except PlatformUnavailableError as error:
+            _LOG.warning("shard %d not released yet: %s", number, error)
 
     async def _claim(self) -> None:
         if self.draining:
             return
-        for value in range(self._count):
-            number = ShardNumber(value)
-            if number in self._owned or self._wanted_owner(number) != self._membership.node_id:
-                continue
+        own = self._membership.node_id
+        free: list[tuple[ShardNumber, ShardRecord | None]] = []
+        for number in map(ShardNumber, range(self._count)):
             record = self._membership.tables.shards.get(number)
-            if record is None or self._is_free(record):
-                await self._claim_one(number, record)
+            is_ours = number in self._owned or self._wanted_owner(number) != own
+            if not is_ours and (record is None or self._is_free(record)):
+                free.append((number, record))
+        await _gather_bounded(self._claim_one(number, record) for number, record in free)
 
     def _is_free(self, record: ShardRecord) -> bool:
         """A shard is free once its owner's registration, and so its lease, is gone."""
@@ -144,23 +155,20 @@
     async def _claim_one(self, number: ShardNumber, record: ShardRecord | None) -> None:
         key = name_shard(number)
         epoch = record.epoch + 1 if record else 1
-        conditions: list[Condition] = []
-        if record is None:
-            conditions.append(Absent(key))
-        else:
-            conditions.append(Unchanged(key, record.mod_revision))
-            # The table may be old: an owner that renewed since must keep its shard, or two
-            # nodes would act for it at once. The service itself compares, at the write.
-            if record.owner not in ("", self._membership.node_id):
-                conditions.append(Absent(name_node(record.owner)))
         put = Put(key, _encode(self._membership.node_id, epoch))
-        if not await self._keyvalue.commit(conditions, [put]):
-            return
-        entry = await self._keyvalue.get(key)
-        if entry is None or json.loads(entry.value) != json.loads(put.value):
+        try:
+            await self._keyvalue.commit(self._list_conditions(key, record), [put])
+        except PlatformUnavailableError as error:
+            _LOG.warning("reply to the claim of shard %d lost, reading back: %s", number, error)
+        try:
+            entry = await self._keyvalue.get(key)
+            if entry is None or entry.value != put.value:
+                return
+            owned = OwnedShard(number, epoch, entry.mod_revision)
+            await self._on_claimed(owned)
+        except PlatformUnavailableError as error:
+            _LOG.warning("shard %d not claimed yet: %s", number, error)
             return
-        owned = OwnedShard(number, epoch, entry.mod_revision)
-        await self._on_claimed(owned)
         self._owned[number] = owned
         decide(
             f"shard {number}",
@@ -169,6 +177,27 @@
             epoch=epoch,
         )
 
+    def _list_conditions(self, key: str, record: ShardRecord | None) -> list[Condition]:
+        if record is None:
+            return [Absent(key)]
+        conditions: list[Condition] = [Unchanged(key, record.mod_revision)]
+        # The table may be old: an owner that renewed since must keep its shard, or two nodes
+        # would act for it at once. The service itself compares, at the write.
+        if record.owner not in ("", self._membership.node_id):
+            conditions.append(Absent(name_node(record.owner)))
+        return conditions
+
+
+async def _gather_bounded(work: Iterable[Awaitable[None]]) -> None:
+    """Do all, a few at a time, so that a take-over does not flood the service."""
+    slots = asyncio.Semaphore(_CALLS_AT_ONCE)
+
+    async def do(each: Awaitable[None]) -> None:
+        async with slots:
+            await each
+
+    await asyncio.gather(*map(do, work))
+
 
 def _encode(owner: NodeId, epoch: int) -> bytes:
     return json.dumps({"owner": owner, "epoch": epoch}).encode()
--- a/packages/wrenloft/tests/test_shards.py
+++ b/packages/wrenloft/tests/test_shards.py
@@ -161,6 +161,21 @@
             keyvalue.faults = KeyValueFaults()
             await _wait_for_all(members)
 
+    async def test_releases_again_what_was_not_released(self) -> None:
+        """A node lets go of a shard for a new node, but its release never reaches the service.
+
+        The shard stays in the old node's name in the table. Unless it is released again from
+        there, nobody owns it, and every keyed request of the shard is refused.
+        """
+        async with _open_members(KeyValue(), 2) as members:
+            old, new = members
+            old.start()
+            await _wait_for_all([old])
+            for number in range(_COUNT):
+                old.shards.lose(ShardNumber(number))
+            new.start()
+            await _wait_for_all(members)
+
     async def test_hands_over_at_once_on_a_planned_stop(self) -> None:
         """A node that leaves releases its shards; nobody has to wait for its lease."""
         async with _open_members(KeyValue(), 2) as members:
