Let a keyed request claim anew after burying another's attempt

Ruled out: slow take-over of shards; the shard had its owner. Change: burying another request's attempt is no retry and excludes no runner; the retry budget also earns a little with time, so that small organisations may retry.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_retry.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_retry.py
@@ -10,23 +10,32 @@
     """Allows further attempts as a fraction of first attempts.
 
     Without it, a fault that fails every attempt doubles or triples the load at the moment when
-    the fleet can carry least; the budget bounds the extra load to ``ratio``.
+    the fleet can carry least; the budget bounds the extra load to ``ratio``. The few attempts
+    a second that come on top let an organisation with little traffic try again at all.
 
+    :param now: monotonic time, in seconds.
     :param ratio: further attempts earned by each first attempt.
-    :param reserve: further attempts allowed before any were earned.
+    :param trickle: further attempts earned each second.
+    :param reserve: most that can be saved, and what it begins with.
     """
 
-    def __init__(self, ratio: float = 0.1, reserve: float = 10.0) -> None:
+    def __init__(
+        self, now: float, ratio: float = 0.1, trickle: float = 0.2, reserve: float = 10.0
+    ) -> None:
         self._ratio = ratio
+        self._trickle = trickle
         self._reserve = reserve
         self._tokens = reserve
+        self._at = now
 
     def earn(self) -> None:
         """Count one first attempt."""
         self._tokens = min(self._reserve, self._tokens + self._ratio)
 
-    def spend(self) -> bool:
+    def spend(self, now: float) -> bool:
         """Take one further attempt, if the budget allows it."""
+        self._tokens = min(self._reserve, self._tokens + (now - self._at) * self._trickle)
+        self._at = now
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- a/packages/wrenloft-standins/src/wrenloft_standins/_deployment.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_deployment.py
@@ -93,7 +93,7 @@
                 **self.node_settings,
             },
         )
-        self.nodes.append(process)
+        self.nodes = sorted([*self.nodes, process], key=lambda each: each.name)
         return process
 
     async def start_nodes(self, count: int) -> None:
--- a/packages/wrenloft/src/wrenloft/callers/_keyed.py
+++ b/packages/wrenloft/src/wrenloft/callers/_keyed.py
@@ -23,6 +23,7 @@
 _START_SECONDS = 1.0
 _START_PAUSE = 0.1
 _RETRY_AFTER = 1.0
+_MAX_CLAIMS = 8
 _SETTLE_TRIES = 5
 _SETTLE_PAUSE = 0.5
 _CONFLICT_STATUS = 422
@@ -60,42 +61,47 @@
         self._runner.count_first(request)
         refuted = ""
         excluded: frozenset[AgentId] = frozenset()
-        attempts = 0
-        while True:
-            attempts += 1
+        attempts = 1
+        for number in range(1, _MAX_CLAIMS + 1):
             entry = await self._router.acquire(request, excluded)
             if isinstance(entry, NotRun):
                 outbox.begin(entry)
                 return
+            attempt_id = RequestId(f"{request.request_id}.{number}")
             started = asyncio.get_running_loop().time()
             seconds: float | None = None
             try:
-                refuted_now = await self._attempt(request, entry, attempts, refuted, outbox)
+                failed = await self._attempt(request, entry, attempt_id, refuted, attempts, outbox)
                 seconds = asyncio.get_running_loop().time() - started
             finally:
                 self._router.release(request, entry, seconds)
-            if refuted_now is None:
+            if failed is None:
                 return
-            refuted = refuted_now
+            refuted = failed
+            if failed != attempt_id:
+                # Another request's attempt was buried; this one has not sent anything yet, so
+                # it is no retry. Counted as one, a spent budget would refuse the key for ever.
+                continue
             excluded |= {entry.agent_id}
             if not self._runner.may_retry(request, attempts):
-                outbox.begin(NotRun("send", "no attempt started", retry_after=_RETRY_AFTER))
-                return
+                break
             await self._runner.back_off(attempts)
+            attempts += 1
+        outbox.begin(NotRun("send", "no attempt started", retry_after=_RETRY_AFTER))
 
     async def _attempt(
         self,
         request: CallerRequest,
         entry: AgentEntry,
-        attempts: int,
+        attempt_id: RequestId,
         refuted: str,
+        attempts: int,
         outbox: Outbox,
     ) -> str | None:
         """Claim and send once.
 
         :returns: the id of an attempt proved not to have started, or ``None`` at an outcome.
         """
-        attempt_id = RequestId(f"{request.request_id}.{attempts}")
         reply = await self._claim(request, entry, attempt_id, refuted)
         if reply.verdict == messages.CLAIM_GRANTED:
             return await self._send(request, entry, attempt_id, attempts, outbox)
--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -46,7 +46,7 @@
             return False
         if request.priority is Priority.ALARM:
             return True
-        return self._budget(request).spend()
+        return self._budget(request).spend(now)
 
     def count_first(self, request: CallerRequest) -> None:
         """Count a first attempt towards the budget."""
@@ -178,7 +178,10 @@
         return Unknown("read-answer", str(error), answer.agent_id)
 
     def _budget(self, request: CallerRequest) -> RetryBudget:
-        return self._budgets.setdefault(request.caller.name, RetryBudget())
+        name = request.caller.name
+        if name not in self._budgets:
+            self._budgets[name] = RetryBudget(asyncio.get_running_loop().time())
+        return self._budgets[name]
 
     def _record(self, entry: AgentEntry, result: Answer | Refused | Seen | Broken) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/test_requests_under_failure.py
+++ b/tests/test_requests_under_failure.py
@@ -326,7 +326,7 @@
             assert [each for each in replies if each.outcome != "done"] == []
             expected = "".join(f"{n} " for n in range(400))
             assert [read_text(each) for each in replies] == [expected] * 6
-            assert {each.outcome for each in later} == {"done"}
+            assert [each for each in later if each.outcome != "done"] == []
             assert len((await site.engine_stats())[f"{MODEL}-0"]["runs"]) == runs
             assert await agent.wait() == 0
 
