Do not lose origin permits when an engine differs; end each permit

An agent saw its engine serve a model that it had not ordered, restarted all its targets and dropped its origin permits; the owner granted those chunks to nobody else (traced in the agents' logs). The stray model came from agents left over by a test that started replacements under the same names. Change: only settled targets are pursued again; a permit ends after 8 s and the chunk is granted to another host; the test fleet ends every process it started.

--- a/packages/wrenloft-agent/src/wrenloft_agent/_models.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_models.py
@@ -114,8 +114,18 @@
                 _LOG.warning("engine serves %s instead of %s", state.serving, self.serving)
                 self.serving = dict(state.serving)
                 self._notify()
-                for target in self.targets():
-                    self._start(target, [], [])
+                self._restart_settled()
+
+    def _restart_settled(self) -> None:
+        """Pursue again the targets that had been reached and hold no more.
+
+        Those still on their way are left alone: restarted, they would lose their neighbours and
+        the permits that nobody else has, and the whole fleet would wait for those chunks.
+        """
+        for target in self.targets():
+            holds = self.serving.get(target.model, "") == target.version
+            if not holds and self._tasks[target.model].done():
+                self._start(target, [], [])
 
     async def close(self) -> None:
         """Stop all work."""
--- a/packages/wrenloft-agent/tests/test_models.py
+++ b/packages/wrenloft-agent/tests/test_models.py
@@ -191,3 +191,35 @@
         async with bench.open() as models:
             await models.read_back()
             assert models.serving == {_MODEL: "v7"}
+
+
+class TestWatchEngine:
+    """Tests for ``Models.watch_engine``."""
+
+    async def test_loads_again_what_a_restarted_engine_lost(self) -> None:
+        """The engine is restarted and holds nothing; the agent still has the chunks."""
+        bench = _Bench()
+        async with bench.open() as models:
+            bench.order(models, "old")
+            await bench.wait_serving("old")
+            while not models._tasks[_MODEL].done():
+                await asyncio.sleep(0.01)
+            watch = asyncio.create_task(models.watch_engine())
+            bench.engine.forget()
+            await bench.wait_serving("old")
+            watch.cancel()
+
+    async def test_leaves_a_transfer_under_way_alone(self) -> None:
+        """Something else at the engine differs while a version is on its way.
+
+        The transfer holds permits that no other host has; restarting it would drop them, and
+        the whole fleet would wait for those chunks for ever (seen with 24 hosts).
+        """
+        bench = _Bench()
+        bench.origin.faults = OriginFaults(down=True)
+        async with bench.open() as models:
+            bench.order(models, "old")
+            before = models._tasks[_MODEL]
+            models.serving = {ModelName("another"): VersionDigest("v")}
+            models._restart_settled()
+            assert models._tasks[_MODEL] is before
--- /dev/null
+++ b/packages/wrenloft-policy/tests/test_limits.py
@@ -0,0 +1,163 @@
+"""Tests of admission, queues, retries and ejection."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wrenloft_core import AgentId, Limits, NodeId, OrganisationName, Priority
+from wrenloft_policy import (
+    EjectionRule,
+    Ejections,
+    FairQueue,
+    RetryBudget,
+    Share,
+    Ticket,
+    TokenBucket,
+    admit,
+    divide_limits,
+)
+
+_SHARE = Share(rate=2.0, concurrent=3, queue=4)
+
+
+def _ticket(number: int, organisation: str, priority: Priority = Priority.INTERACTIVE) -> Ticket:
+    return Ticket(number, OrganisationName(organisation), priority, deadline=float(number))
+
+
+class TestAdmit:
+    """Tests for ``admit``."""
+
+    def test_never_refuses_an_alarm(self) -> None:
+        """An organisation has used up every limit; its door alarm still gets in."""
+        bucket = TokenBucket(0.0)
+        for priority, refused in ((Priority.BATCH, True), (Priority.ALARM, False)):
+            refusal = admit(
+                priority,
+                bucket=bucket,
+                share=_SHARE,
+                in_progress=99,
+                spread_seconds=2.0,
+                now=0.0,
+                random=Random(1),
+            )
+            assert (refusal is not None) is refused
+
+    def test_spreads_the_returns_of_those_refused(self) -> None:
+        """Refused callers come back spread over time, not all in the same moment."""
+        bucket = TokenBucket(0.0)
+        random = Random(1)
+        delays = set()
+        for _ in range(50):
+            refusal = admit(
+                Priority.BATCH,
+                bucket=bucket,
+                share=_SHARE,
+                in_progress=0,
+                spread_seconds=2.0,
+                now=0.0,
+                random=random,
+            )
+            if refusal is not None and refusal.retry_after is not None:
+                delays.add(round(refusal.retry_after, 2))
+        assert len(delays) > 30
+
+
+class TestDivideLimits:
+    """Tests for ``divide_limits``."""
+
+    @given(st.lists(st.floats(0, 1000), min_size=1, max_size=12))
+    def test_shares_add_up_to_the_limit(self, demands: list[float]) -> None:
+        """All nodes together never allow more than the organisation's rate."""
+        demand = {NodeId(f"n{index}"): each for index, each in enumerate(demands)}
+        rates = [
+            divide_limits(Limits(rate=100.0), demand, node_id, len(demand)).rate
+            for node_id in demand
+        ]
+        assert sum(rates) <= 100.0 + 1e-6
+        assert min(rates) > 0
+
+
+class TestFairQueue:
+    """Tests for ``FairQueue``."""
+
+    def test_a_flood_does_not_delay_others(self) -> None:
+        """One organisation sends a thousand reports, then another sends one.
+
+        The one is served second, not after the thousand.
+        """
+        queue = FairQueue()
+        for number in range(1000):
+            queue.push(_ticket(number, "flood"))
+        queue.push(_ticket(2000, "quiet"))
+        served = [queue.pop() for _ in range(3)]
+        assert "quiet" in {each.organisation for each in served if each}
+
+    def test_an_idle_organisation_saves_up_nothing(self) -> None:
+        """After hours of silence an organisation gets its equal part, not everything at once."""
+        queue = FairQueue()
+        for number in range(100):
+            queue.push(_ticket(number, "busy"))
+            queue.pop()
+        for number in range(10):
+            queue.push(_ticket(number, "busy"))
+            queue.push(_ticket(number, "returned"))
+        served = [queue.pop() for _ in range(10)]
+        counts = [each.organisation for each in served if each]
+        assert 4 <= counts.count(OrganisationName("returned")) <= 6
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(list(Priority)))))
+    def test_serves_classes_in_order_and_loses_nothing(
+        self, entries: list[tuple[str, Priority]]
+    ) -> None:
+        """Every request comes out exactly once, the more urgent class always first."""
+        queue = FairQueue()
+        for number, (organisation, priority) in enumerate(entries):
+            queue.push(_ticket(number, organisation, priority))
+        served = []
+        while ticket := queue.pop():
+            served.append(ticket)
+        assert sorted(each.key for each in served) == list(range(len(entries)))  # type: ignore[type-var]
+        ranks = [each.priority.rank for each in served]
+        assert ranks == sorted(ranks)
+
+
+class TestRetryBudget:
+    """Tests for ``RetryBudget``."""
+
+    def test_bounds_attempts_when_everything_fails(self) -> None:
+        """Every attempt of a thousand requests fails: at most a tenth more are sent."""
+        budget = RetryBudget(now=0.0)
+        retries = 0
+        for _ in range(1000):
+            budget.earn()
+            retries += budget.spend(now=0.0)
+        assert retries <= 110
+
+    def test_lets_a_small_organisation_retry_after_a_while(self) -> None:
+        """A budget that was spent in an outage does not refuse one request a minute for ever."""
+        budget = RetryBudget(now=0.0)
+        while budget.spend(now=0.0):
+            pass
+        assert budget.spend(now=60.0)
+
+
+class TestEjections:
+    """Tests for ``Ejections``."""
+
+    def test_never_ejects_all(self) -> None:
+        """This node's own link fails, so every runner seems to fail; half of them are kept."""
+        agents = [AgentId(f"a{number}") for number in range(6)]
+        ejections = Ejections(EjectionRule(failures=1))
+        for each in agents:
+            ejections.record_failure(each, now=0.0)
+        assert len(ejections.filter(agents, now=0.1)) == 3
+
+    def test_takes_back_a_runner_that_answers(self) -> None:
+        """One success ends an ejection's history."""
+        agents = [AgentId("a"), AgentId("b"), AgentId("c")]
+        ejections = Ejections(EjectionRule(failures=1))
+        ejections.record_failure(agents[0], now=0.0)
+        assert agents[0] not in ejections.filter(agents, now=0.1)
+        ejections.record_success(agents[0])
+        assert agents[0] in ejections.filter(agents, now=0.1)
--- a/packages/wrenloft-standins/src/wrenloft_standins/__main__.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
     parser.add_argument("kind", choices=["keyvalue", "origin", "engine", "service"])
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--rate", type=float, default=16e6, help="origin's link, bytes a second")
+    parser.add_argument("--count", type=int, default=1, help="how many of them in this process")
     parser.add_argument("--capacity", type=int, default=8)
     parser.add_argument("--token-seconds", type=float, default=0.005)
     parser.add_argument(
@@ -52,8 +54,12 @@
 
 async def _run() -> None:
     arguments = _read_arguments()
-    async with serve(_build(arguments), arguments.port) as server:
-        print(f"listening {server.address}", flush=True)
+    async with AsyncExitStack() as stack:
+        servers = [
+            await stack.enter_async_context(serve(_build(arguments), arguments.port))
+            for _ in range(arguments.count)
+        ]
+        print("listening", *(each.address for each in servers), flush=True)
         await asyncio.Event().wait()
 
 
--- a/packages/wrenloft-standins/src/wrenloft_standins/_engine.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_engine.py
@@ -120,6 +120,11 @@
         self._loaded.setdefault(model, {})[version] = ""
         self._serving[model] = version
 
+    def forget(self) -> None:
+        """Hold nothing any more, as after a restart."""
+        self._loaded.clear()
+        self._serving.clear()
+
     def routes(self) -> list[web.RouteDef]:
         """Return the request, stream, order and report routes."""
         return [
--- a/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
@@ -80,7 +80,7 @@
 
     folder: Path
     session: ClientSession
-    processes: dict[str, Process] = field(default_factory=dict)
+    processes: list[Process] = field(default_factory=list)
 
     async def start(self, name: str, arguments: Sequence[str]) -> Process:
         """Start a process and wait until it listens.
@@ -104,7 +104,8 @@
         if not line or line[0] != "listening":
             handle.kill()
             raise RuntimeError(f"{name} did not start: {log.read_text()[-2000:]}")
-        process = self.processes[name] = Process(name, line[1:], handle, log)
+        process = Process(name, line[1:], handle, log)
+        self.processes.append(process)
         return process
 
     async def start_standin(self, name: str, kind: str, *arguments: str) -> Process:
@@ -135,10 +136,10 @@
 
     async def close(self) -> None:
         """End every process that was started here."""
-        for process in self.processes.values():
+        for process in self.processes:
             process.send(signal.SIGCONT)
             process.send(signal.SIGKILL)
-        await asyncio.gather(*(each.handle.wait() for each in self.processes.values()))
+        await asyncio.gather(*(each.handle.wait() for each in self.processes))
 
     def _write(self, name: str, settings: Mapping[str, Any]) -> Path:
         path = self.folder / f"{name}.toml"
--- a/packages/wrenloft/src/wrenloft/agents/_planner.py
+++ b/packages/wrenloft/src/wrenloft/agents/_planner.py
@@ -32,23 +32,36 @@
 _ORDER_TIMEOUT = 3.0
 _REORDER_SECONDS = 1.0
 _ORDERS_AT_ONCE = 32
+_GRANT_SECONDS = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    """A permit that was given.
+
+    :param until: monotonic time after which the chunk is granted to another host.
+    """
+
+    agent_id: AgentId
+    until: float
 
 
 @dataclass(slots=True)
 class _Plan:
     """What is under way for one model.
 
-    :param granted: chunks with the agent that may fetch each from the origin.
+    :param granted: chunks with the permit to fetch each from the origin.
     :param held: chunks of the version held by each agent, as it last said.
     """
 
     model: ModelName
     version: VersionDigest
     epoch: int
-    granted: dict[int, AgentId] = field(default_factory=dict)
+    granted: dict[int, _Grant] = field(default_factory=dict)
     held: dict[AgentId, set[int]] = field(default_factory=dict)
     ordered_at: dict[AgentId, float] = field(default_factory=dict)
     placed: frozenset[AgentId] = frozenset()
+    rounds: int = 0
 
 
 class Planner:
@@ -247,15 +260,19 @@
         wanted = [
             chunk
             for chunk in range(len(manifest.digests))
-            if chunk not in held and plan.granted.get(chunk) not in alive
+            if chunk not in held and not self._is_granted(plan, chunk, alive, now)
         ]
         able = [each for each in placed if each in alive and not self._is_served(plan, each)]
         if not wanted or not able:
             return {}
         rate = self._configurations.current.fleet.origin_rate
-        permits = grant_permits(wanted, manifest.sizes, able, rate)
+        first = plan.rounds % len(able)
+        plan.rounds += 1
+        permits = grant_permits(wanted, manifest.sizes, able[first:] + able[:first], rate)
         for agent_id, granted in permits.items():
-            plan.granted.update({each.chunk: agent_id for each in granted})
+            for each in granted:
+                until = now + each.not_before + _GRANT_SECONDS
+                plan.granted[each.chunk] = _Grant(agent_id, until)
         return {
             agent_id: [
                 messages.OriginPermit(chunk=each.chunk, not_before_ms=round(each.not_before * 1000))
@@ -265,6 +282,16 @@
             if granted
         }
 
+    @staticmethod
+    def _is_granted(plan: _Plan, chunk: int, alive: set[AgentId], now: float) -> bool:
+        """Tell whether somebody may still be expected to bring a chunk.
+
+        A holder may be alive and yet never bring it: its order was lost, or its own link to the
+        origin is broken. Without an end to each permit every host would wait for that chunk.
+        """
+        grant = plan.granted.get(chunk)
+        return grant is not None and grant.agent_id in alive and now < grant.until
+
     async def _order(
         self,
         plan: _Plan,
--- a/tests/test_control_under_failure.py
+++ b/tests/test_control_under_failure.py
@@ -116,7 +116,8 @@
         async with open_site(tmp_path, configure=False) as site:
             await site.apply(site.configure(), base=0)
             await site.wait_replicas()
-            await asyncio.gather(*(each.kill() for each in site.nodes))
+            old = [*site.nodes, *site.deployment.agents.values()]
+            await asyncio.gather(*(each.kill() for each in old))
             await site.set_faults(site.keyvalue, outage=True)
             nodes = [
                 await site.deployment.start_node(f"new-{n}", place)
