Choose chunks in one task; tell possession at once after a rest

Ruled out: fewer fetches at once (4 instead of 6: no gain seen). Change: one task chooses for all fetches; possession follows the order of arrival instead of looking at every chunk for every neighbour.

--- a/packages/wrenloft-agent/src/wrenloft_agent/_store.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_store.py
@@ -1,7 +1,7 @@
 """Chunks held in memory, each checked before it is kept."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from wrenloft_core import (
     ChunkDigest,
@@ -23,6 +23,7 @@
         self._chunks: dict[ChunkDigest, bytes] = {}
         self._manifests: dict[VersionDigest, Manifest] = {}
         self._size = 0
+        self._added: list[ChunkDigest] = []
         self.changed = asyncio.Event()
 
     @property
@@ -33,6 +34,7 @@
     def add_manifest(self, manifest: Manifest) -> None:
         """Remember a version's manifest."""
         self._manifests[manifest.version] = manifest
+        self._notify()
 
     def manifest(self, version: VersionDigest) -> Manifest | None:
         """Return a version's manifest, if it is known."""
@@ -55,8 +57,13 @@
         if digest not in self._chunks:
             self._chunks[digest] = data
             self._size += len(data)
+            self._added.append(digest)
             self._notify()
 
+    def added_since(self, position: int) -> tuple[Sequence[ChunkDigest], int]:
+        """Return the chunks added since a position in the order of arrival, and the new one."""
+        return self._added[position:], len(self._added)
+
     def get(self, digest: ChunkDigest) -> bytes | None:
         """Return a chunk, if it is held."""
         return self._chunks.get(digest)
--- a/packages/wrenloft-agent/src/wrenloft_agent/_transfer.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_transfer.py
@@ -30,7 +30,7 @@
 
 _LOG = logging.getLogger(__name__)
 
-_PEER_WORKERS = 6
+_FETCHES = 6
 _ORIGIN_WORKERS = 2
 _BUSY_LIMIT = 2
 _IDLE_SECONDS = 0.1
@@ -69,6 +69,7 @@
         self._in_flight: dict[int, float] = {}
         self._from_origin: set[int] = set()
         self._woken = asyncio.Event()
+        self._fetching = 0
 
     def update(self, neighbours: Sequence[Neighbour], permits: Sequence[Permit]) -> None:
         """Take the neighbours and the further permits of a new order."""
@@ -81,8 +82,7 @@
     async def run(self, manifest: Manifest) -> None:
         """Fetch until every chunk is held."""
         async with asyncio.TaskGroup() as group:
-            for _ in range(_PEER_WORKERS):
-                group.create_task(self._work(manifest))
+            group.create_task(self._schedule(manifest, group))
             for _ in range(_ORIGIN_WORKERS):
                 group.create_task(self._work_under_permits(manifest))
 
@@ -132,24 +132,33 @@
     def _stall_seconds(self, size: int) -> float:
         return _STALL_FLOOR + _STALL_FACTOR * size / self._means.link_rate
 
-    async def _work(self, manifest: Manifest) -> None:
-        """Fetch chunks from neighbours, one after another."""
-        while missing := self._missing(manifest):
-            found = self._choose(manifest, missing)
-            if found is None:
-                await self._rest()
-                continue
-            chunk, neighbour = found
-            await self._fetch(manifest, chunk, neighbour)
+    async def _schedule(self, manifest: Manifest, group: asyncio.TaskGroup) -> None:
+        """Start fetches from neighbours, so many at once, until nothing is missing.
 
-    def _choose(self, manifest: Manifest, missing: list[int]) -> tuple[int, Neighbour] | None:
+        One task chooses for all: with a task per fetch, each message of a neighbour woke them
+        all, and a third of the agent's processor time went into choosing in vain.
+        """
+        while missing := self._missing(manifest):
+            open_chunks = [each for each in missing if each not in self._in_flight]
+            while self._fetching < _FETCHES and (found := self._choose(manifest, open_chunks)):
+                chunk, neighbour = found
+                if chunk in open_chunks:
+                    open_chunks.remove(chunk)
+                self._in_flight[chunk] = asyncio.get_running_loop().time()
+                self._fetching += 1
+                neighbour.busy += 1
+                group.create_task(self._fetch(manifest, chunk, neighbour))
+            await self._rest()
+
+    def _choose(self, manifest: Manifest, open_chunks: list[int]) -> tuple[int, Neighbour] | None:
         now = asyncio.get_running_loop().time()
         sources = [
             Source(each.agent_id, each.held, each.busy, each.distance)
             for each in self._neighbours.known.values()
-            if each.avoided_until <= now and each.held
+            if each.avoided_until <= now and each.held and each.busy < _BUSY_LIMIT
         ]
-        open_chunks = [each for each in missing if each not in self._in_flight]
+        if not sources:
+            return None
         choice = choose_chunk(open_chunks, sources, self._means.random, _BUSY_LIMIT)
         if choice is None and not open_chunks:
             choice = self._choose_hedge(manifest, sources, now)
@@ -173,14 +182,11 @@
         choice = choose_chunk(late, sources, self._means.random, 1) if late else None
         if choice is not None:
             _HEDGED.inc()
-            self._in_flight[choice[0]] = now
         return choice
 
     async def _fetch(self, manifest: Manifest, chunk: int, neighbour: Neighbour) -> None:
         loop = asyncio.get_running_loop()
         digest = manifest.digests[chunk]
-        self._in_flight.setdefault(chunk, loop.time())
-        neighbour.busy += 1
         try:
             data = await fetch_from_neighbour(
                 self._means.session,
@@ -202,7 +208,9 @@
             neighbour.record_failure(loop.time())
         finally:
             neighbour.busy -= 1
+            self._fetching -= 1
             self._in_flight.pop(chunk, None)
+            self._wake()
 
     async def _work_under_permits(self, manifest: Manifest) -> None:
         """Fetch from the origin those chunks for which the owner gave leave."""
--- a/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
@@ -13,7 +13,7 @@
 _PIECE = 65536
 _UPLOADS = 4
 _UPLOAD_QUEUE = 8
-_POSSESSION_INTERVAL = 0.05
+_POSSESSION_INTERVAL = 0.1
 
 
 class ChunkRoutes:
@@ -65,15 +65,25 @@
 async def stream_possession(
     store: ChunkStore, version: VersionDigest
 ) -> AsyncIterator[messages.PossessionUpdate]:
-    """Yield the chunks held, then those added, at most every 50 ms."""
-    told: set[int] = set()
+    """Yield the chunks held, then those added: at once after a rest, else every 100 ms.
+
+    A new chunk is told at once so that it doubles early; while many arrive they are told
+    together, since each message costs as much as a tenth of a small chunk.
+    """
+    while (manifest := store.manifest(version)) is None:
+        await store.changed.wait()
+    numbers: dict[ChunkDigest, list[int]] = {}
+    for number, digest in enumerate(manifest.digests):
+        numbers.setdefault(digest, []).append(number)
+    _, position = store.added_since(0)
+    held = store.held(version)
+    yield messages.PossessionUpdate(total_chunks=len(manifest.digests), added=held)
     while True:
         changed = store.changed
-        manifest = store.manifest(version)
-        added = [each for each in store.held(version) if each not in told]
-        if added or not told:
-            told.update(added)
-            total = len(manifest.digests) if manifest else 0
-            yield messages.PossessionUpdate(total_chunks=total, added=added)
-        await changed.wait()
-        await asyncio.sleep(_POSSESSION_INTERVAL)
+        digests, position = store.added_since(position)
+        added = [number for digest in digests for number in numbers.get(digest, [])]
+        if added:
+            yield messages.PossessionUpdate(added=added)
+            await asyncio.sleep(_POSSESSION_INTERVAL)
+        else:
+            await changed.wait()
