Measure control; show by removal that each safeguard is needed

Found by it: no test lost the reply to the head's own move (a test does now), the drain test's stream ended before the drain did (longer now), and a test that waits for ever counted as no result (60 s each now).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 HOSTS ?= 24
 GOAL ?= time
 
-.PHONY: demo test lint types unit generate bench-weights bench-requests bench-control
+.PHONY: demo test lint types unit prove generate bench-weights bench-requests bench-control
 
 $(READY): constraints.txt requirements-build.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,9 @@
 unit: $(READY)
 	$(BIN)/python -m pytest -n 4
 
+prove: $(READY)
+	$(BIN)/python bench/safeguards.py
+
 bench-weights: $(READY)
 	$(BIN)/python bench/weights.py --hosts $(HOSTS) --goal $(GOAL)
 
--- /dev/null
+++ b/bench/safeguards.py
@@ -0,0 +1,287 @@
+"""Shows that each safeguard is needed: takes it out of a copy, and its test must fail.
+
+``make prove`` prints a line for each safeguard and exits non-zero if a test passes without it.
+"""
+
+import asyncio
+import os
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+AGENT = "packages/wrenloft-agent/src/wrenloft_agent"
+AGENT_TESTS = "packages/wrenloft-agent/tests"
+NODE = "packages/wrenloft/src/wrenloft"
+NODE_TESTS = "packages/wrenloft/tests"
+POLICY = "packages/wrenloft-policy/src/wrenloft_policy"
+POLICY_TESTS = "packages/wrenloft-policy/tests"
+REQUESTS = "tests/test_requests_under_failure.py"
+PARALLEL = 4
+TEST_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Safeguard:
+    """One safeguard, how it is taken out, and the test that must then fail."""
+
+    name: str
+    file: str
+    present: str
+    absent: str
+    test: str
+
+
+SAFEGUARDS = (
+    Safeguard(
+        "a chunk is checked before it is kept",
+        f"{AGENT}/_store.py",
+        "if digest_bytes(data) != digest:",
+        "if False:",
+        f"{AGENT_TESTS}/test_models.py::TestOrder::test_serves_a_version_only_once_it_is_whole",
+    ),
+    Safeguard(
+        "an id is taken once",
+        f"{AGENT}/_runs.py",
+        "if request_id in self._runs or request_id in self._spent:",
+        "if False:",
+        f"{AGENT_TESTS}/test_runs.py::TestOpen::test_refuses_a_second_copy",
+    ),
+    Safeguard(
+        "a tombstone is kept",
+        f"{AGENT}/_runs.py",
+        "run = self._runs[request_id] = Run(request_id, idempotent=False)",
+        "run = Run(request_id, idempotent=False)",
+        f"{AGENT_TESTS}/test_runs.py::TestOpen"
+        "::test_refuses_the_late_original_after_a_tombstone",
+    ),
+    Safeguard(
+        "a spent id is remembered",
+        f"{AGENT}/_runs.py",
+        "self._spent.add(run.request_id)",
+        "pass",
+        f"{AGENT_TESTS}/test_runs.py::TestOpen::test_remembers_a_spent_id_without_its_answer",
+    ),
+    Safeguard(
+        "an agent refuses an older epoch",
+        f"{AGENT}/_models.py",
+        "if epoch < self._fences.get(shard, 0):",
+        "if False:",
+        f"{AGENT_TESTS}/test_models.py::TestOrder"
+        "::test_refuses_an_old_epoch_even_if_the_engine_would_not",
+    ),
+    Safeguard(
+        "an agent refuses an older revision",
+        f"{AGENT}/_models.py",
+        "if current is not None and target.revision < current.revision:",
+        "if False:",
+        f"{AGENT_TESTS}/test_models.py::TestOrder::test_refuses_an_older_revision",
+    ),
+    Safeguard(
+        "a version is freed only when unused",
+        f"{AGENT}/_models.py",
+        "while self._uses(old):",
+        "while False:",
+        f"{AGENT_TESTS}/test_models.py::TestOrder"
+        "::test_keeps_the_old_version_until_its_last_request_has_ended",
+    ),
+    Safeguard(
+        "answers carry the request's own id",
+        f"{AGENT}/runner/_calls.py",
+        "return events.count(request_id.encode()) >= expected",
+        "return expected >= 0",
+        f"{AGENT_TESTS}/test_calls.py::TestCall::test_throws_away_a_crossed_answer",
+    ),
+    Safeguard(
+        "the HTTP client does not send again by itself",
+        f"{AGENT}/_sessions.py",
+        "session._retry_connection = False",
+        "session._retry_connection = True",
+        f"{AGENT_TESTS}/test_calls.py::TestCall::test_sends_once_though_the_answer_is_cut_off",
+    ),
+    Safeguard(
+        "alarms pass the agent's queue",
+        f"{AGENT}/runner/_gate.py",
+        "return self.running < self.capacity * _ALARM_FACTOR",
+        "return self.running < max(1, self.capacity - self.alarm_slots)",
+        f"{AGENT_TESTS}/test_gate.py::TestEnter::test_lets_an_alarm_past_a_full_queue",
+    ),
+    Safeguard(
+        "origin permits are needed",
+        f"{AGENT}/_transfer.py",
+        "for chunk, at in self._permits.items()",
+        "for chunk, at in [(each, 0.0) for each in range(len(manifest.digests))]",
+        f"{AGENT_TESTS}/test_transfer.py::TestRun::test_does_not_ask_the_origin_without_a_permit",
+    ),
+    Safeguard(
+        "a transfer under way is left alone",
+        f"{AGENT}/_models.py",
+        "if not holds and self._tasks[target.model].done():",
+        "if not holds:",
+        f"{AGENT_TESTS}/test_models.py::TestWatchEngine::test_leaves_a_transfer_under_way_alone",
+    ),
+    Safeguard(
+        "a process never applies a lower revision",
+        f"{NODE}/platform/_configurations.py",
+        "if head.revision <= self.revision:\n            return False",
+        "if False:\n            return False",
+        f"{NODE_TESTS}/test_configurations.py::TestAdopt::test_never_goes_back",
+    ),
+    Safeguard(
+        "a lost reply is settled by the operation id",
+        f"{NODE}/platform/_configurations.py",
+        "if winner.operation == head.operation:",
+        "if False:",
+        f"{NODE_TESTS}/test_configurations.py::TestAccept"
+        "::test_finds_its_own_change_after_the_reply_was_lost",
+    ),
+    Safeguard(
+        "the head moves by compare-and-swap",
+        f"{NODE}/platform/_configurations.py",
+        "if await self._keyvalue.commit([condition], puts):",
+        "if await self._keyvalue.commit([], puts):",
+        f"{NODE_TESTS}/test_configurations.py::TestAccept"
+        "::test_tells_the_loser_of_a_race_who_won",
+    ),
+    Safeguard(
+        "a claim compares the owner's registration",
+        f"{NODE}/platform/_shards.py",
+        "conditions.append(Absent(name_node(record.owner)))",
+        "pass",
+        f"{NODE_TESTS}/test_shards.py::TestBalance"
+        "::test_does_not_claim_from_an_owner_that_renewed_since_the_read",
+    ),
+    Safeguard(
+        "a lease ends for its holder before it ends at the service",
+        f"{POLICY}/_ownership.py",
+        "self.sent_at + self.seconds * (1.0 - _MARGIN)",
+        "self.sent_at + self.seconds",
+        f"{NODE_TESTS}/test_shards.py::TestLease::test_ends_before_the_service_ends_it",
+    ),
+    Safeguard(
+        "the table decides what is released",
+        f"{NODE}/platform/_shards.py",
+        "if record.owner == own and self._wanted_owner(number) not in (None, own)",
+        "if number in self._owned and self._wanted_owner(number) not in (None, own)",
+        f"{NODE_TESTS}/test_shards.py::TestBalance::test_releases_again_what_was_not_released",
+    ),
+    Safeguard(
+        "a record's write names the claim of its shard",
+        f"{NODE}/platform/_requests.py",
+        "conditions += [Unchanged(name_shard(number), revision), Absent(put.key)]",
+        "conditions += [Absent(put.key)]",
+        f"{NODE_TESTS}/test_requests.py::TestClaim"
+        "::test_grants_nothing_to_an_owner_that_was_replaced",
+    ),
+    Safeguard(
+        "a lost reply to a claim is settled by reading back",
+        f"{NODE}/platform/_requests.py",
+        "return entry is not None and entry.value == first.value",
+        "return False",
+        f"{NODE_TESTS}/test_requests.py::TestClaim::test_grants_after_a_lost_reply",
+    ),
+    Safeguard(
+        "an organisation that was idle saves up nothing",
+        f"{POLICY}/_queue.py",
+        "self._served[ticket.organisation] = max(served, floor)",
+        "self._served[ticket.organisation] = served",
+        f"{POLICY_TESTS}/test_limits.py::TestFairQueue::test_an_idle_organisation_saves_up_nothing",
+    ),
+    Safeguard(
+        "half of the runners are never ejected",
+        f"{POLICY}/_ejection.py",
+        "while len(kept) < least and ejected:",
+        "while False:",
+        f"{POLICY_TESTS}/test_limits.py::TestEjections::test_never_ejects_all",
+    ),
+    Safeguard(
+        "requests sent since a report count",
+        f"{POLICY}/_runners.py",
+        "return max(candidate.own, candidate.reported + candidate.sent_since)",
+        "return candidate.reported",
+        f"{POLICY_TESTS}/test_runners.py::TestChooseRunner"
+        "::test_does_not_send_a_whole_burst_to_the_idlest_report",
+    ),
+    Safeguard(
+        "an entry node ends only after its last request",
+        f"{NODE}/_node.py",
+        "        await self._routes.finish()\n",
+        "",
+        f"{REQUESTS}::TestPlannedStop::test_an_entry_node_ends_after_its_last_request",
+    ),
+    Safeguard(
+        "an agent that leaves refuses new work itself",
+        f"{AGENT}/nodes/_requests.py",
+        "if self.leaving:",
+        "if False:",
+        "tests/test_requests_under_failure.py::TestPlannedStop"
+        "::test_a_leaving_agent_refuses_what_a_late_node_sends",
+    ),
+    Safeguard(
+        "a started request is never sent elsewhere",
+        f"{NODE}/callers/_runs.py",
+        "fate = await self._client.bury(entry.agent_id, address, attempt_id)\n        if fate is",
+        "fate = Fate.NOT_RUN\n        if fate is",
+        f"{REQUESTS}::TestKilled::test_an_unkeyed_note_is_never_sent_again",
+    ),
+)
+
+
+async def check(safeguard: Safeguard, slots: asyncio.Semaphore) -> bool:
+    """Return whether the test fails without the safeguard."""
+    async with slots:
+        with tempfile.TemporaryDirectory(prefix="wrenloft-prove-") as folder:
+            copy = Path(folder)
+            for part in ("packages", "tests", "pyproject.toml"):
+                source = ROOT / part
+                if source.is_dir():
+                    shutil.copytree(source, copy / part)
+                else:
+                    shutil.copy(source, copy / part)
+            target = copy / safeguard.file
+            text = target.read_text()
+            if text.count(safeguard.present) != 1:
+                print(f"STALE   {safeguard.name}: {safeguard.file} no longer has it once")
+                return False
+            target.write_text(text.replace(safeguard.present, safeguard.absent))
+            failed = await run_test(copy, safeguard.test)
+    print(f"{'needed ' if failed else 'UNPROVED'} {safeguard.name}", flush=True)
+    return failed
+
+
+def list_sources(copy: Path) -> str:
+    """Return the copy's source folders as an import path."""
+    return os.pathsep.join(str(each) for each in sorted(copy.glob("packages/*/src")))
+
+
+async def run_test(copy: Path, test: str) -> bool:
+    """Return whether a test fails in a copy of the tree, or never ends."""
+    handle = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "pytest", "-x", "-p", "no:cacheprovider", test,
+        cwd=copy,
+        env={**os.environ, "PYTHONPATH": list_sources(copy)},
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.DEVNULL,
+    )  # fmt: skip
+    try:
+        async with asyncio.timeout(TEST_SECONDS):
+            return await handle.wait() == 1
+    except TimeoutError:
+        handle.kill()
+        await handle.wait()
+        return True  # what it waits for never comes without the safeguard
+
+
+async def run(words: str) -> int:
+    """Check every safeguard whose name holds ``words``."""
+    slots = asyncio.Semaphore(PARALLEL)
+    chosen = [each for each in SAFEGUARDS if words in each.name]
+    results = await asyncio.gather(*(check(each, slots) for each in chosen))
+    print(f"{sum(results)} of {len(results)} safeguards shown to be needed")
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run(" ".join(sys.argv[1:]))))
--- a/packages/wrenloft-standins/src/wrenloft_standins/_keyvalue.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_keyvalue.py
@@ -78,11 +78,12 @@
     def _handle(self, act: Callable[[dict[str, Any]], dict[str, Any]], kind: str) -> Any:
         async def handle(request: web.Request) -> web.Response:
             body = await request.read()
-            self._counts[kind] += 1
+            fields = json.loads(body)
+            self._counts["reads" if _only_reads(fields) else kind] += 1
             self._counts["bytes_in"] += len(body)
             await self._misbehave()
             self._expire_leases()
-            answer = act(json.loads(body))
+            answer = act(fields)
             async with self._changed:
                 self._changed.notify_all()
             if kind == "writes" and self._loses_reply():
@@ -239,3 +240,9 @@
                 "mod_revision": str(event.revision),
             },
         }
+
+
+def _only_reads(fields: dict[str, Any]) -> bool:
+    """Tell whether a transaction writes nothing."""
+    operations = fields.get("success", [])
+    return bool(operations) and all("request_range" in each for each in operations)
--- a/packages/wrenloft/tests/test_configurations.py
+++ b/packages/wrenloft/tests/test_configurations.py
@@ -66,6 +66,19 @@
             assert head.revision == 2
             assert store.current.fleet.answer_bytes == 2
 
+    async def test_finds_its_own_change_after_the_reply_was_lost(self) -> None:
+        """The head moves but the reply is lost, so the next try finds the head moved.
+
+        Only the operation id tells that it was this change; without it the operator would be
+        told that somebody else had won, though the change is in force.
+        """
+        keyvalue = KeyValue()
+        async with _open_stores(keyvalue, 1) as (store,):
+            await _accept(store, 1, base=0)
+            keyvalue.faults = KeyValueFaults(lose_next=1)
+            head = await _accept(store, 1, base=1, operation="same sections")
+            assert (head.revision, head.operation) == (2, "same sections")
+
     async def test_tells_the_loser_of_a_race_who_won(self) -> None:
         """Two operators change the configuration at the same moment.
 
--- a/tests/test_requests_under_failure.py
+++ b/tests/test_requests_under_failure.py
@@ -10,6 +10,7 @@
 from wrenloft_core import Header
 from wrenloft_standins import (
     MODEL,
+    SECRET,
     Process,
     Question,
     Reply,
@@ -290,7 +291,7 @@
         """
         async with open_site(tmp_path) as site:
             node = site.deployment.nodes[0]
-            question = ask_model(MODEL, "long", stream=True, max_tokens=600)
+            question = ask_model(MODEL, "long", stream=True, max_tokens=1200)
             long = asyncio.create_task(site.send(question, node))
             await asyncio.sleep(0.3)
             node.send(signal.SIGTERM)
@@ -298,7 +299,7 @@
             held = await site.send(ask_model(MODEL, "holds the address"), node)
             reply = await long
             assert held.outcome == "done"
-            assert read_text(reply) == "".join(f"{n} " for n in range(600))
+            assert read_text(reply) == "".join(f"{n} " for n in range(1200))
             assert await node.wait() == 0
             late = await site.send(ask_model(MODEL, "late"), node)
             assert late.outcome in ("lost", "not-run")
@@ -330,6 +331,34 @@
             assert len((await site.engine_stats())[f"{MODEL}-0"]["runs"]) == runs
             assert await agent.wait() == 0
 
+    async def test_a_leaving_agent_refuses_what_a_late_node_sends(self, tmp_path: Path) -> None:
+        """A node that has not heard yet that a host leaves sends it a request.
+
+        The agent refuses, with proof that nothing ran, and the node can go elsewhere.
+        """
+        async with open_site(tmp_path) as site:
+            agent = site.deployment.agents["sklad-app-0"]
+            status = await site.status()
+            name = next(each["id"] for each in status["agents"] if "sklad" in each["id"])
+            await slow_down(site, 1.0)
+            held = asyncio.create_task(site.send(write_note("held")))
+            await wait_written(site, "held")
+            agent.send(signal.SIGTERM)
+            await wait_leaving(site, agent)
+            headers = {
+                Header.SECRET: SECRET,
+                Header.AGENT: name,
+                Header.REQUEST_ID: "late.1",
+                Header.MODEL: "sklad-app",
+                Header.PRIORITY: "interactive",
+                Header.IDEMPOTENT: "false",
+            }
+            url = f"http://{agent.http}/run/notes"
+            async with site.session.post(url, data=b"late", headers=headers) as response:
+                assert response.headers[Header.OUTCOME] == "not-run"
+            assert (await held).outcome == "done"
+            assert "late" not in await site.notes()
+
     async def test_a_keyed_note_survives_the_stop_of_its_gateway(self, tmp_path: Path) -> None:
         """The gateway of a slow keyed note is stopped: it ends only after the note's answer."""
         async with open_site(tmp_path) as site:
