--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	$(BIN)/python bench/weights.py --hosts $(HOSTS) --goal $(GOAL)
 
 bench-requests: $(READY)
-	$(BIN)/python bench/requests.py
+	$(BIN)/python bench/load.py
 
 bench-control: $(READY)
 	$(BIN)/python bench/control.py
--- a/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import tomli_w
-from aiohttp import ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout, TCPConnector
 
 _START_SECONDS = 30.0
 _STOP_SECONDS = 30.0
@@ -152,7 +152,13 @@
     """Give an empty fleet, and end all its processes at the end."""
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(
-            ClientSession(timeout=ClientTimeout(total=120), read_bufsize=1 << 20)
+            ClientSession(
+                # Without a limit on connections: callers that wait for one another in this
+                # process would look like requests that wait in the system.
+                connector=TCPConnector(limit=0),
+                timeout=ClientTimeout(total=120),
+                read_bufsize=1 << 20,
+            )
         )
         fleet = Fleet(folder, session)
         stack.push_async_callback(fleet.close)
--- a/packages/wrenloft/src/wrenloft/_node.py
+++ b/packages/wrenloft/src/wrenloft/_node.py
@@ -16,7 +16,7 @@
 from wrenloft._settings import NodeSettings
 from wrenloft._view import View
 from wrenloft.agents import AgentClient, Attachments, Planner
-from wrenloft.callers import Authenticator, CallerRoutes, KeyedRuns, Router, Runner
+from wrenloft.callers import Authenticator, CallerRoutes, KeyedRuns, Router, Runner, build_choice
 from wrenloft.nodes import Heartbeats, NodeService, OwnerClaims
 from wrenloft.operators import OperatorRoutes
 from wrenloft.platform import (
@@ -63,6 +63,7 @@
             self._place,
             self._region,
             self._random,
+            build_choice(settings.choice),
         )
 
     async def start(self, stack: AsyncExitStack) -> None:
--- a/packages/wrenloft/src/wrenloft/_settings.py
+++ b/packages/wrenloft/src/wrenloft/_settings.py
@@ -1,6 +1,16 @@
 """The entry node's settings."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Choice(StrEnum):
+    """How runners are chosen; all but the first are baselines for measurements."""
+
+    TWO_CANDIDATES = "two-candidates"
+    RANDOM = "random"
+    ROUND_ROBIN = "round-robin"
+    LEAST_REPORTED = "least-reported"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +52,7 @@
     keep_seconds: float = 5.0
     plan_seconds: float = 0.5
     shard_count: int = 64
+    choice: Choice = Choice.TWO_CANDIDATES
     max_body: int = 4 << 20
     max_connections: int = 4096
     log_json: bool = False
--- a/packages/wrenloft/src/wrenloft/callers/__init__.py
+++ b/packages/wrenloft/src/wrenloft/callers/__init__.py
@@ -3,7 +3,15 @@
 from wrenloft.callers._application import CallerRoutes
 from wrenloft.callers._authentication import Authenticator
 from wrenloft.callers._keyed import KeyedRuns
-from wrenloft.callers._router import ChooseRunner, Router
+from wrenloft.callers._router import ChooseRunner, Router, build_choice
 from wrenloft.callers._runs import Runner
 
-__all__ = ["Authenticator", "CallerRoutes", "ChooseRunner", "KeyedRuns", "Router", "Runner"]
+__all__ = [
+    "Authenticator",
+    "CallerRoutes",
+    "ChooseRunner",
+    "KeyedRuns",
+    "Router",
+    "Runner",
+    "build_choice",
+]
--- a/packages/wrenloft/src/wrenloft/callers/_router.py
+++ b/packages/wrenloft/src/wrenloft/callers/_router.py
@@ -1,12 +1,14 @@
 """Admission, queues and the choice of a runner at this node."""
 
 import asyncio
+import itertools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
 from prometheus_client import Counter, Gauge
 
+from wrenloft._settings import Choice
 from wrenloft._view import AgentEntry, View
 from wrenloft.callers._requests import CallerRequest
 from wrenloft.platform import ConfigurationStore
@@ -29,6 +31,8 @@
     Ticket,
     TokenBucket,
     admit,
+    choose_least_reported,
+    choose_random,
     choose_runner,
     divide_limits,
     estimate_load,
@@ -46,6 +50,25 @@
 _QUEUED = Gauge("wrenloft_queued_requests", "Requests waiting for a runner", ["target"])
 
 
+def build_choice(choice: Choice) -> ChooseRunner:
+    """Return the function that chooses runners."""
+    turns = itertools.count()
+
+    def choose_next(
+        candidates: Sequence[Candidate], place: PlaceName, region: RegionName, random: Random
+    ) -> Chosen | None:
+        if not candidates:
+            return None
+        return Chosen(candidates[next(turns) % len(candidates)].agent_id, "next in turn")
+
+    return {
+        Choice.TWO_CANDIDATES: choose_runner,
+        Choice.RANDOM: lambda candidates, place, region, random: choose_random(candidates, random),
+        Choice.ROUND_ROBIN: choose_next,
+        Choice.LEAST_REPORTED: lambda candidates, *_: choose_least_reported(candidates),
+    }[choice]
+
+
 @dataclass(slots=True)
 class _Line:
     """Requests that wait for one target."""
