Never call a request not run when an attempt may have run

Cause: for idempotent requests an attempt of unknown fate was passed on inside the node as 'not run', meaning 'may be sent again'; when the retry budget was spent or no runner was left, the caller was told 'not run' though it may have run. Ruled out: the keyed path, where each attempt is proved by itself. Change: doubt about one attempt stays with the request to its end.

--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -76,13 +76,18 @@
         return result
 
     async def run(self, request: CallerRequest, outbox: Outbox) -> None:
-        """Bring a request to its outcome."""
+        """Bring a request to its outcome.
+
+        Once an attempt's fate is unknown, a later one's refusal proves nothing for the request
+        as a whole; said to be not run, it might be sent again by hand and run twice.
+        """
         self.count_first(request)
         excluded: set[AgentId] = set()
+        doubt: Unknown | None = None
         for attempts in range(1, _MAX_ATTEMPTS + 1):
             entry = await self._router.acquire(request, frozenset(excluded))
             if isinstance(entry, NotRun):
-                outbox.begin(entry)
+                outbox.begin(doubt or entry)
                 return
             started = asyncio.get_running_loop().time()
             seconds: float | None = None
@@ -94,8 +99,11 @@
             if failure is None:
                 return
             excluded.add(entry.agent_id)
-            if isinstance(failure, Unknown) or not self.may_retry(request, attempts):
-                outbox.begin(failure)
+            if isinstance(failure, Unknown):
+                doubt = failure
+            repeatable = doubt is None or request.idempotent
+            if not repeatable or not self.may_retry(request, attempts):
+                outbox.begin(doubt or failure)
                 return
             await self.back_off(attempts)
 
@@ -113,7 +121,7 @@
                 if not isinstance(settled, Answer):
                     return settled
                 result = settled
-            return await self._pass_on(request, result, attempts, outbox)
+            return await self._pass_on(result, attempts, outbox)
         except asyncio.CancelledError:
             if request.idempotent:
                 await asyncio.shield(self._client.cancel(entry.record.http_address, attempt_id))
@@ -141,16 +149,10 @@
             answer = await self._client.follow(entry.agent_id, address, attempt_id, 0, seconds)
             if isinstance(answer, Answer):
                 return answer
-        if request.idempotent:
-            return NotRun("send", reason, entry.agent_id, retry_after=_RETRY_AFTER)
         return Unknown("send", f"{reason}; agent says {fate.value}", entry.agent_id)
 
     async def _pass_on(
-        self,
-        request: CallerRequest,
-        answer: Answer,
-        attempts: int,
-        outbox: Outbox,
+        self, answer: Answer, attempts: int, outbox: Outbox
     ) -> NotRun | Unknown | None:
         passed = False
         try:
@@ -161,7 +163,7 @@
                 await outbox.put(piece)
         except ClientError as error:
             if not passed:
-                return self._explain_break(request, answer, error)
+                return Unknown("read-answer", str(error), answer.agent_id)
             # Another run's words can't be joined to these: the caller sees the stream break.
             outbox.end(broken=True)
             return None
@@ -169,14 +171,6 @@
         outbox.end()
         return None
 
-    @staticmethod
-    def _explain_break(
-        request: CallerRequest, answer: Answer, error: ClientError
-    ) -> NotRun | Unknown:
-        if request.idempotent:
-            return NotRun("read-answer", str(error), answer.agent_id, retry_after=_RETRY_AFTER)
-        return Unknown("read-answer", str(error), answer.agent_id)
-
     def _budget(self, request: CallerRequest) -> RetryBudget:
         name = request.caller.name
         if name not in self._budgets:
