Free the key of a request that was not run; second origin copy where time weighs more

Ruled out: slow start of the replacement (it was ready). Change: a request that ends as not run has its claim taken away, at the owner and in the service. Tests: test_frees_the_key_of_an_attempt_that_never_started, test_keeps_the_claim_of_a_later_attempt.

Cause 2: the goal in the configuration changed nothing.

Unused fields of the messages are gone.

--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_attach.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_attach.py
@@ -161,7 +161,6 @@
 def _extract_load(record: messages.AgentRecord) -> messages.AgentLoad:
     return messages.AgentLoad(
         agent_id=record.agent_id,
-        incarnation=record.incarnation,
         sequence=record.sequence,
         running=record.running,
         waiting=record.waiting,
--- a/packages/wrenloft-policy/src/wrenloft_policy/_swarm.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_swarm.py
@@ -43,21 +43,33 @@
     sizes: Sequence[int],
     hosts: Sequence[AgentId],
     origin_rate: float,
+    *,
+    copies: int = 1,
 ) -> dict[AgentId, list[Permit]]:
     """Hand each chunk to a different first host, spaced as the origin's link carries them.
 
+    :param copies: how often each chunk may leave the origin. Later copies go to other hosts once
+        all first ones have left; a host that has the chunk by then does not ask.
+
     Asked for all at once, the origin's link divides over all hosts, and nobody has a whole
     chunk to pass on until as many as there are hosts have arrived. Spaced, the first whole
     chunk is there after one chunk's time on the link.
     """
     permits: dict[AgentId, list[Permit]] = {each: [] for each in hosts}
     at = 0.0
-    for index, chunk in enumerate(chunks):
-        permits[hosts[index % len(hosts)]].append(Permit(chunk, at))
-        at += sizes[chunk] / origin_rate
+    for copy in range(copies):
+        for index, chunk in enumerate(chunks):
+            host = hosts[(index + copy * _copy_stride(len(hosts))) % len(hosts)]
+            permits[host].append(Permit(chunk, at))
+            at += sizes[chunk] / origin_rate
     return permits
 
 
+def _copy_stride(host_count: int) -> int:
+    """Return how many hosts lie between those that may fetch the same chunk."""
+    return max(1, host_count // 2)
+
+
 def pick_neighbours(
     agent_id: AgentId,
     places: Mapping[AgentId, tuple[PlaceName, RegionName]],
--- a/packages/wrenloft-policy/tests/test_placing.py
+++ b/packages/wrenloft-policy/tests/test_placing.py
@@ -79,6 +79,19 @@
         assert [chunk for _, chunk in granted] == list(range(chunk_count))
         assert all(abs(at - index * 0.1) < 1e-6 for index, (at, _) in enumerate(granted))
 
+    def test_gives_a_second_copy_to_another_host_and_later(self) -> None:
+        """Where time weighs more, the idle origin sends chunks again, after all first copies."""
+        hosts = [AgentId(f"a{number}") for number in range(4)]
+        permits = grant_permits(range(8), [100] * 8, hosts, origin_rate=1000.0, copies=2)
+        by_chunk: dict[int, list[tuple[float, str]]] = {}
+        for host, granted in permits.items():
+            for each in granted:
+                by_chunk.setdefault(each.chunk, []).append((each.not_before, host))
+        for copies in by_chunk.values():
+            (first, one), (second, other) = sorted(copies)
+            assert one != other
+            assert first < 0.75 < second
+
 
 class TestChooseChunk:
     """Tests for ``choose_chunk``."""
--- a/packages/wrenloft-standins/src/wrenloft_standins/_site.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_site.py
@@ -75,7 +75,8 @@
     def configure(self, version: str = "first", replicas: int = ENGINE_COUNT, **fleet: Any) -> str:
         """Return a configuration in TOML."""
         weights = self.weights[version]
-        lines = ["[fleet]", f"host_rate = {_RATE}", f"origin_rate = {2 * _RATE}"]
+        lines = ["[fleet]", 'goal = "origin"']
+        lines += [f"host_rate = {_RATE}", f"origin_rate = {2 * _RATE}"]
         lines += [f"{name} = {value}" for name, value in fleet.items()]
         lines += [
             "[organisations.liptov]",
--- a/packages/wrenloft/src/wrenloft/agents/_planner.py
+++ b/packages/wrenloft/src/wrenloft/agents/_planner.py
@@ -13,6 +13,7 @@
 from wrenloft.platform import ConfigurationStore, OwnedShard, Shards
 from wrenloft_core import (
     AgentId,
+    Goal,
     Header,
     Manifest,
     Model,
@@ -33,6 +34,7 @@
 _REORDER_SECONDS = 1.0
 _ORDERS_AT_ONCE = 32
 _GRANT_SECONDS = 8.0
+_TIME_COPIES = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,10 +267,17 @@
         able = [each for each in placed if each in alive and not self._is_served(plan, each)]
         if not wanted or not able:
             return {}
-        rate = self._configurations.current.fleet.origin_rate
+        fleet = self._configurations.current.fleet
+        copies = _TIME_COPIES if fleet.goal is Goal.TIME else 1
         first = plan.rounds % len(able)
         plan.rounds += 1
-        permits = grant_permits(wanted, manifest.sizes, able[first:] + able[:first], rate)
+        permits = grant_permits(
+            wanted,
+            manifest.sizes,
+            able[first:] + able[:first],
+            fleet.origin_rate,
+            copies=copies,
+        )
         for agent_id, granted in permits.items():
             for each in granted:
                 until = now + each.not_before + _GRANT_SECONDS
--- a/packages/wrenloft/src/wrenloft/callers/_keyed.py
+++ b/packages/wrenloft/src/wrenloft/callers/_keyed.py
@@ -65,6 +65,7 @@
         for number in range(1, _MAX_CLAIMS + 1):
             entry = await self._router.acquire(request, excluded)
             if isinstance(entry, NotRun):
+                self._free_key(request, refuted)
                 outbox.begin(entry)
                 return
             attempt_id = RequestId(f"{request.request_id}.{number}")
@@ -87,8 +88,18 @@
                 break
             await self._runner.back_off(attempts)
             attempts += 1
+        self._free_key(request, refuted)
         outbox.begin(NotRun("send", "no attempt started", retry_after=_RETRY_AFTER))
 
+    def _free_key(self, request: CallerRequest, refuted: str) -> None:
+        """Have the record of an attempt that never started taken away.
+
+        Left there, it would name an agent that may be gone by the time the key is used again;
+        nobody could then repeat the proof, and the key would be answered 'unknown' for good.
+        """
+        if refuted:
+            self._settle_soon(request, refuted, messages.StoredAnswer(not_run=True))
+
     async def _attempt(
         self,
         request: CallerRequest,
--- a/packages/wrenloft/src/wrenloft/platform/_requests.py
+++ b/packages/wrenloft/src/wrenloft/platform/_requests.py
@@ -139,7 +139,10 @@
             return False
         if record.answer is not None:
             return True
-        record.answer = request.answer
+        if request.answer.not_run:
+            del ledger.records[key]
+        else:
+            record.answer = request.answer
         try:
             await self._append(number, _encode_answer(key, request.request_id, request.answer))
         except PlatformUnavailableError as error:
@@ -376,5 +379,8 @@
         return
     record = records.get(key)
     if record is not None and record.request_id == event["request"]:
-        encoded = base64.b64decode(event["answer"])
-        record.answer = messages.StoredAnswer.FromString(encoded)
+        answer = messages.StoredAnswer.FromString(base64.b64decode(event["answer"]))
+        if answer.not_run:
+            del records[key]
+        else:
+            record.answer = answer
--- a/packages/wrenloft/tests/test_requests.py
+++ b/packages/wrenloft/tests/test_requests.py
@@ -170,6 +170,40 @@
             assert (second.verdict, second.request_id) == (messages.CLAIM_IN_FLIGHT, "r2")
 
 
+class TestSettle:
+    """Tests for ``RequestRegistry.settle``."""
+
+    async def test_frees_the_key_of_an_attempt_that_never_started(self) -> None:
+        """A note's only agent refuses it and is replaced; the caller sends the note again.
+
+        The refusal proved that nothing ran. Were the claim left, it would name an agent that
+        is gone, and the note would be answered 'unknown' for good though it never ran.
+        """
+        async with _open_owners(KeyValue()) as (first, second):
+            await first.take(1)
+            await first.claim("k", "r1")
+            answer = messages.StoredAnswer(not_run=True)
+            request = messages.SettleRequest(
+                organisation="liptov", key="k", request_id="r1", answer=answer
+            )
+            assert await first.registry.settle(request)
+            await second.take(2)
+            assert (await second.claim("k", "r2")).verdict == messages.CLAIM_GRANTED
+
+    async def test_keeps_the_claim_of_a_later_attempt(self) -> None:
+        """The proof for an attempt comes late, when the key has been claimed anew."""
+        async with _open_owners(KeyValue(), 1) as (owner,):
+            await owner.take(1)
+            await owner.claim("k", "r1")
+            await owner.claim("k", "r2", refuted="r1")
+            answer = messages.StoredAnswer(not_run=True)
+            request = messages.SettleRequest(
+                organisation="liptov", key="k", request_id="r1", answer=answer
+            )
+            assert not await owner.registry.settle(request)
+            assert (await owner.claim("k", "r3")).request_id == "r2"
+
+
 class TestWrite:
     """Tests for ``RequestRegistry.write``."""
 
