Name the sender of attempts a sender; one place for a record's load

Cause: read as a newcomer, 'Runner' meant a back end everywhere but in callers, and two packages cut an agent's load out of its record in the same lines.

--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_attach.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_attach.py
@@ -10,7 +10,7 @@
 import grpc
 
 from wrenloft_core import Header
-from wrenloft_messages import messages, services
+from wrenloft_messages import extract_load, messages, services
 
 _LOG = logging.getLogger(__name__)
 
@@ -144,7 +144,7 @@
                 told = steady
                 yield messages.AgentReport(record=record)
             else:
-                yield messages.AgentReport(load=_extract_load(record))
+                yield messages.AgentReport(load=extract_load(record))
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._report_seconds):
                     await changed.wait()
@@ -156,13 +156,3 @@
     for name in ("sequence", "running", "waiting"):
         steady.ClearField(name)
     return steady.SerializeToString(deterministic=True)
-
-
-def _extract_load(record: messages.AgentRecord) -> messages.AgentLoad:
-    return messages.AgentLoad(
-        agent_id=record.agent_id,
-        sequence=record.sequence,
-        running=record.running,
-        waiting=record.waiting,
-        revision=record.revision,
-    )
--- a/packages/wrenloft-messages/src/wrenloft_messages/__init__.py
+++ b/packages/wrenloft-messages/src/wrenloft_messages/__init__.py
@@ -2,5 +2,6 @@
 
 from wrenloft_messages import wrenloft_pb2 as messages
 from wrenloft_messages import wrenloft_pb2_grpc as services
+from wrenloft_messages._loads import extract_load
 
-__all__ = ["messages", "services"]
+__all__ = ["extract_load", "messages", "services"]
--- a/packages/wrenloft/src/wrenloft/_node.py
+++ b/packages/wrenloft/src/wrenloft/_node.py
@@ -16,7 +16,7 @@
 from wrenloft._settings import NodeSettings
 from wrenloft._view import View
 from wrenloft.agents import AgentClient, Attachments, Planner
-from wrenloft.callers import Authenticator, CallerRoutes, KeyedRuns, Router, Runner, build_choice
+from wrenloft.callers import Authenticator, CallerRoutes, KeyedRuns, Router, Sender, build_choice
 from wrenloft.nodes import Heartbeats, NodeService, OwnerClaims
 from wrenloft.operators import OperatorRoutes
 from wrenloft.platform import (
@@ -157,10 +157,10 @@
             shard_count=settings.shard_count,
             plan_seconds=settings.plan_seconds,
         )
-        runner = Runner(self._router, self._client, self._configurations, self._random)
+        sender = Sender(self._router, self._client, self._configurations, self._random)
         keyed = KeyedRuns(
             self._router,
-            runner,
+            sender,
             self._client,
             self._claims,
             self._view,
@@ -170,7 +170,7 @@
         self._routes = CallerRoutes(
             Authenticator(self._configurations),
             self._router,
-            runner,
+            sender,
             keyed,
             self._view,
             self._configurations,
--- a/packages/wrenloft/src/wrenloft/callers/__init__.py
+++ b/packages/wrenloft/src/wrenloft/callers/__init__.py
@@ -4,7 +4,7 @@
 from wrenloft.callers._authentication import Authenticator
 from wrenloft.callers._keyed import KeyedRuns
 from wrenloft.callers._router import ChooseRunner, Router, build_choice
-from wrenloft.callers._runs import Runner
+from wrenloft.callers._runs import Sender
 
 __all__ = [
     "Authenticator",
@@ -12,6 +12,6 @@
     "ChooseRunner",
     "KeyedRuns",
     "Router",
-    "Runner",
+    "Sender",
     "build_choice",
 ]
--- a/packages/wrenloft/src/wrenloft/callers/_application.py
+++ b/packages/wrenloft/src/wrenloft/callers/_application.py
@@ -19,7 +19,7 @@
     read_service_request,
 )
 from wrenloft.callers._router import Router
-from wrenloft.callers._runs import Runner
+from wrenloft.callers._runs import Sender
 from wrenloft.platform import ConfigurationStore
 from wrenloft_core import Configuration, Header, NotRun, PlaceName, RegionName, Unknown
 from wrenloft_messages import messages
@@ -45,7 +45,7 @@
         self,
         authenticator: Authenticator,
         router: Router,
-        runner: Runner,
+        sender: Sender,
         keyed: KeyedRuns,
         view: View,
         configurations: ConfigurationStore,
@@ -54,7 +54,7 @@
     ) -> None:
         self._authenticator = authenticator
         self._router = router
-        self._runner = runner
+        self._sender = sender
         self._keyed = keyed
         self._view = view
         self._configurations = configurations
@@ -150,7 +150,7 @@
             _SECONDS.labels(wanted.priority).observe(elapsed)
 
     async def _run(self, wanted: CallerRequest, outbox: Outbox) -> None:
-        run = self._keyed.run if wanted.key else self._runner.run
+        run = self._keyed.run if wanted.key else self._sender.run
         try:
             await run(wanted, outbox)
         except Exception:
--- a/packages/wrenloft/src/wrenloft/callers/_keyed.py
+++ b/packages/wrenloft/src/wrenloft/callers/_keyed.py
@@ -11,7 +11,7 @@
 from wrenloft.callers._outbox import Head, Outbox
 from wrenloft.callers._requests import CallerRequest
 from wrenloft.callers._router import Router
-from wrenloft.callers._runs import Runner, describe_head
+from wrenloft.callers._runs import Sender, describe_head
 from wrenloft.nodes import OwnerClaims
 from wrenloft.platform import ConfigurationStore
 from wrenloft_core import AgentId, NotRun, RequestId, Unknown
@@ -36,7 +36,7 @@
     def __init__(
         self,
         router: Router,
-        runner: Runner,
+        sender: Sender,
         client: AgentClient,
         claims: OwnerClaims,
         view: View,
@@ -44,7 +44,7 @@
         random: Random,
     ) -> None:
         self._router = router
-        self._runner = runner
+        self._sender = sender
         self._client = client
         self._claims = claims
         self._view = view
@@ -58,7 +58,7 @@
 
     async def run(self, request: CallerRequest, outbox: Outbox) -> None:
         """Bring a request to its outcome."""
-        self._runner.count_first(request)
+        self._sender.count_first(request)
         refuted = ""
         excluded: frozenset[AgentId] = frozenset()
         attempts = 1
@@ -84,9 +84,9 @@
                 # it is no retry. Counted as one, a spent budget would refuse the key for ever.
                 continue
             excluded |= {entry.agent_id}
-            if not self._runner.may_retry(request, attempts):
+            if not self._sender.may_retry(request, attempts):
                 break
-            await self._runner.back_off(attempts)
+            await self._sender.back_off(attempts)
             attempts += 1
         self._free_key(request, refuted)
         outbox.begin(NotRun("send", "no attempt started", retry_after=_RETRY_AFTER))
@@ -160,9 +160,9 @@
         attempts: int,
         outbox: Outbox,
     ) -> str | None:
-        result = await self._runner.send(request, entry, attempt_id)
+        result = await self._sender.send(request, entry, attempt_id)
         if isinstance(result, Broken | Seen):
-            settled = await self._runner.settle_fate(request, entry, attempt_id, result)
+            settled = await self._sender.settle_fate(request, entry, attempt_id, result)
             if isinstance(settled, Unknown):
                 await self._give_up(request, entry, attempt_id, settled, outbox)
                 return None
--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -23,7 +23,7 @@
 _ATTEMPTS = Counter("wrenloft_attempts", "Attempts sent to agents", ["priority"])
 
 
-class Runner:
+class Sender:
     """Sends a request to agents, again only where that is allowed."""
 
     def __init__(
--- a/packages/wrenloft/src/wrenloft/nodes/_heartbeats.py
+++ b/packages/wrenloft/src/wrenloft/nodes/_heartbeats.py
@@ -12,7 +12,7 @@
 from wrenloft._view import View
 from wrenloft.platform import ConfigurationStore, HistoryEntry, Membership
 from wrenloft_core import AgentId, ConfigurationError, Header
-from wrenloft_messages import messages, services
+from wrenloft_messages import extract_load, messages, services
 
 _LOG = logging.getLogger(__name__)
 _TIMEOUT_SECONDS = 1.0
@@ -131,7 +131,7 @@
         ]
         records = [each for each in entries if told.steady.get(each.agent_id) != each.steady]
         loads = [
-            _extract_load(each.record)
+            extract_load(each.record)
             for each in entries
             if each not in records and self._is_due(told, each.record, now)
         ]
@@ -157,13 +157,3 @@
         running, waiting, at = told.loads.get(AgentId(record.agent_id), (-1, -1, 0.0))
         unchanged = (running, waiting) == (record.running, record.waiting)
         return not unchanged or at + _LOAD_REFRESH_SECONDS <= now
-
-
-def _extract_load(record: messages.AgentRecord) -> messages.AgentLoad:
-    return messages.AgentLoad(
-        agent_id=record.agent_id,
-        sequence=record.sequence,
-        running=record.running,
-        waiting=record.waiting,
-        revision=record.revision,
-    )
--- a/packages/wrenloft/tests/test_runs.py
+++ b/packages/wrenloft/tests/test_runs.py
@@ -9,7 +9,7 @@
 from aiohttp import ClientSession
 from wrenloft._view import AgentEntry
 from wrenloft.agents import AgentClient, Answer, Broken, Fate, Refused, Seen
-from wrenloft.callers import Router, Runner
+from wrenloft.callers import Router, Sender
 from wrenloft.callers._authentication import Caller
 from wrenloft.callers._outbox import Head, Outbox
 from wrenloft.callers._requests import CallerRequest
@@ -99,14 +99,14 @@
     client = _Client(sent, fate)
     async with ClientSession() as session:
         store = ConfigurationStore(KeyValueClient(session, ["unused"]))
-        runner = Runner(cast(Router, _Router(runners)), cast(AgentClient, client), store, Random(1))
+        sender = Sender(cast(Router, _Router(runners)), cast(AgentClient, client), store, Random(1))
         outbox = Outbox()
-        await runner.run(_build_request(idempotent=idempotent), outbox)
+        await sender.run(_build_request(idempotent=idempotent), outbox)
     return outbox.head.result(), client.sends
 
 
 class TestRun:
-    """Tests for ``Runner.run``."""
+    """Tests for ``Sender.run``."""
 
     @pytest.mark.parametrize("fate", [Fate.UNREACHABLE, Fate.GONE, Fate.STARTED])
     async def test_says_unknown_when_an_attempt_may_have_run(self, fate: Fate) -> None:
