--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -219,6 +219,14 @@
         "tests/test_requests_under_failure.py::TestPlannedStop"
         "::test_a_leaving_agent_refuses_what_a_late_node_sends",
     ),
+    Safeguard(
+        "an order names its agent",
+        f"{AGENT}/nodes/_orders.py",
+        '            return messages.OrderReply(reason="another agent", state=self._describe())',
+        "            pass",
+        f"{AGENT_TESTS}/test_orders.py::TestOrder"
+        "::test_refuses_an_order_meant_for_its_predecessor",
+    ),
     Safeguard(
         "a started request is never sent elsewhere",
         f"{NODE}/callers/_runs.py",
