Read a process's processor time in one place; state no figure that has no run

Cause: read again, three benchmarks cut the same fields out of /proc, and two comments gave figures (a third of the processor time; a tenth of a small chunk's cost) where the profile had shown a tenth of the samples and nothing had been measured.

--- a/bench/control.py
+++ b/bench/control.py
@@ -9,7 +9,6 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import sys
 import tempfile
@@ -33,7 +32,6 @@
     wait_for,
 )
 
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PLACES = (
     Place("liptov-cave-a", "liptov"),
     Place("orava-hall-b", "orava"),
@@ -97,12 +95,6 @@
     return 0.0
 
 
-def read_cpu(process: Process) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{process.handle.pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-
-
 def read_loopback() -> int:
     """Return the bytes that the loopback interface has carried."""
     for line in Path("/proc/net/dev").read_text().splitlines():
@@ -168,13 +160,16 @@
     async def watch_idle(self) -> dict[str, float]:
         """Return what control costs while nothing happens."""
         nodes = self.deployment.nodes
-        before, cpu = await self.read_service(), [read_cpu(each) for each in nodes]
+        before, cpu = await self.read_service(), [each.read_cpu_seconds() for each in nodes]
         loopback, started = read_loopback(), time.monotonic()
         await asyncio.sleep(WINDOW_SECONDS)
         spent = time.monotonic() - started
         carried = read_loopback() - loopback
         after = await self.read_service()
-        used = [read_cpu(each) - each_before for each, each_before in zip(nodes, cpu, strict=True)]
+        used = [
+            each.read_cpu_seconds() - each_before
+            for each, each_before in zip(nodes, cpu, strict=True)
+        ]
         return {
             "control_cpu_percent": round(100 * max(used) / spent, 2),
             "loopback_bytes_per_second": round(carried / spent),
--- a/bench/load.py
+++ b/bench/load.py
@@ -8,7 +8,6 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import signal
 import statistics
@@ -24,7 +23,6 @@
 from wrenloft_core import Header, hash_key
 from wrenloft_standins import (
     Deployment,
-    Process,
     Question,
     Reply,
     Weights,
@@ -35,7 +33,6 @@
     wait_for,
 )
 
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 ENGINES = {"majster-llm": 7, "cave-watch": 3}
 SLOTS = 4
 TOKENS = 16
@@ -255,20 +252,14 @@
     return round(statistics.median(through) - statistics.median(direct), 2)
 
 
-def read_cpu(process: Process) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{process.handle.pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-
-
 async def measure_load(folder: Path, seconds: float) -> dict[str, Any]:
     """Measure half, whole and twice the capacity."""
     async with open_deployment(folder) as deployment:
         result: dict[str, Any] = {"overhead_ms_p50": await measure_overhead(deployment)}
         for seed, (name, factor) in enumerate((("half", 0.5), ("whole", 1.0), ("twice", 2.0))):
-            cpu = sum(read_cpu(each) for each in deployment.nodes)
+            cpu = sum(each.read_cpu_seconds() for each in deployment.nodes)
             tally = await offer(deployment, CAPACITY * factor / 0.9, seconds, seed + 1)
-            used = sum(read_cpu(each) for each in deployment.nodes) - cpu
+            used = sum(each.read_cpu_seconds() for each in deployment.nodes) - cpu
             result[name] = describe(tally, seconds)
             result[name]["tokens_per_node_cpu_second"] = round(
                 tally.done * TOKENS / max(used, 0.01)
--- a/bench/weights.py
+++ b/bench/weights.py
@@ -7,7 +7,6 @@
 import argparse
 import asyncio
 import json
-import os
 import statistics
 import tempfile
 import time
@@ -42,7 +41,6 @@
 ENGINES_PER_PROCESS = 4
 IDLE_SECONDS = 3.0
 LIVE_PAUSE = 0.03
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PLACES = (
     Place("liptov-cave-a", "liptov"),
     Place("orava-hall-b", "orava"),
@@ -209,14 +207,7 @@
 
 def read_cpu_seconds(bench: Bench) -> float:
     """Return the processor time that all agents have used."""
-    total = 0.0
-    for host in bench.hosts:
-        if host.agent.running:
-            fields = (
-                Path(f"/proc/{host.agent.handle.pid}/stat").read_text().rsplit(")", 1)[1].split()
-            )
-            total += (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-    return total
+    return sum(each.agent.read_cpu_seconds() for each in bench.hosts)
 
 
 def p95(values: list[float]) -> float:
--- a/packages/wrenloft-agent/src/wrenloft_agent/_transfer.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_transfer.py
@@ -136,7 +136,7 @@
         """Start fetches from neighbours, so many at once, until nothing is missing.
 
         One task chooses for all: with a task per fetch, each message of a neighbour woke them
-        all, and a third of the agent's processor time went into choosing in vain.
+        all, and a tenth of the samples of an agent's profile went into choosing in vain.
         """
         while missing := self._missing(manifest):
             open_chunks = [each for each in missing if each not in self._in_flight]
--- a/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
@@ -68,7 +68,7 @@
     """Yield the chunks held, then those added: at once after a rest, else every 100 ms.
 
     A new chunk is told at once so that it doubles early; while many arrive they are told
-    together, since each message costs as much as a tenth of a small chunk.
+    together, in few messages.
     """
     while (manifest := store.manifest(version)) is None:
         await store.changed.wait()
--- a/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
@@ -15,6 +15,9 @@
 
 _START_SECONDS = 30.0
 _STOP_SECONDS = 30.0
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
 
 SECRET = "fleet-secret"
 OPERATOR_KEY = "operator-key"
@@ -44,6 +47,13 @@
         """Whether it has not ended."""
         return self.handle.returncode is None
 
+    def read_cpu_seconds(self) -> float:
+        """Return the processor time that it has used, 0.0 once it has ended."""
+        if not self.running:
+            return 0.0
+        fields = Path(f"/proc/{self.handle.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])) / _TICKS_PER_SECOND
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if it still runs."""
         if self.running:
