--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -1,5 +1,6 @@
 """Ids, outcomes, configuration and manifests shared by wrenloft's programs."""
 
+from wrenloft_core._clock import read_clock
 from wrenloft_core._chunks import Manifest, build_manifest, digest_bytes
 from wrenloft_core._configuration import (
     Configuration,
@@ -44,13 +45,14 @@
     name_request,
     pick_shard,
 )
-from wrenloft_core._logs import decide, set_up_logs
+from wrenloft_core._logs import BoundedHandler, decide, note, set_up_logs, warn
 from wrenloft_core._outcomes import Done, NotRun, Outcome, Priority, Unknown
 from wrenloft_core._secrets import hash_key, matches_digest, matches_secret
 from wrenloft_core._settings import read_settings, structure_settings
 
 __all__ = [
     "AgentId",
+    "BoundedHandler",
     "ChunkDigest",
     "Configuration",
     "ConfigurationError",
@@ -96,10 +98,13 @@
     "matches_secret",
     "name_model",
     "name_request",
+    "note",
     "parse_configuration",
     "pick_shard",
+    "read_clock",
     "read_settings",
     "set_up_logs",
     "split_sections",
     "structure_settings",
+    "warn",
 ]
--- a/packages/wrenloft-core/src/wrenloft_core/_logs.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_logs.py
@@ -1,18 +1,32 @@
-"""Logs: one line per event, plain or JSON."""
+"""Logs: one line per event on standard output, bounded, written without blocking."""
 
+import atexit
 import json
 import logging
-from typing import Any
+import sys
+import threading
+import time
+from collections import deque
+from typing import Any, TextIO
 
 _DECISIONS = logging.getLogger("wrenloft.decisions")
 
+LINES_PER_SECOND = 400
+"""Lines a second kept at most; a node at its usual 15 requests a second writes about 40."""
+
+_BACKLOG_LINES = 4000
+"""Lines held for a reader that is slow: ten seconds at the full rate, about 1 MB."""
+
+_FLUSH_SECONDS = 0.25
+"""Pause between two writes; one write for many lines costs a tenth of one write a line."""
+
 
 class _JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object."""
 
     def format(self, record: logging.LogRecord) -> str:
         fields: dict[str, Any] = {
-            "time": self.formatTime(record),
+            "time": f"{record.created:.3f}",
             "level": record.levelname,
             "logger": record.name,
             "message": record.getMessage(),
@@ -32,9 +46,84 @@
         return super().format(record) + tail
 
 
-def set_up_logs(*, as_json: bool, level: str) -> None:
-    """Send all logs to the standard error stream."""
-    handler = logging.StreamHandler()
+class BoundedHandler(logging.Handler):
+    """Hands lines to a thread of its own, and drops what exceeds the bounds.
+
+    A reader that stops reading blocks only that thread: the event loop never writes. A flood of
+    lines costs no more than ``lines_per_second``; warnings may use twice that, so that the cause
+    of the flood is not among the lines that are dropped. Each second with drops says how many.
+    """
+
+    def __init__(
+        self, stream: TextIO | None = None, lines_per_second: int = LINES_PER_SECOND
+    ) -> None:
+        super().__init__()
+        self._stream = stream or sys.stdout
+        self._rate = lines_per_second
+        self._lines: deque[str] = deque()
+        self._second = 0
+        self._count = 0
+        self._dropped = 0
+        self.dropped = 0
+        self._wake = threading.Event()
+        self._writing = threading.Lock()
+        threading.Thread(target=self._write, name="logs", daemon=True).start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line, or count it as dropped."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._count = second, 0
+            self._report_drops()
+        allowed = self._rate * (2 if record.levelno >= logging.WARNING else 1)
+        if self._count >= allowed or len(self._lines) >= _BACKLOG_LINES:
+            self._dropped += 1
+            self.dropped += 1
+            return
+        self._count += 1
+        self._keep(record)
+
+    def flush(self) -> None:
+        """Write what is held, from the calling thread."""
+        with self._writing:
+            lines = [self._lines.popleft() for _ in range(len(self._lines))]
+            if lines:
+                self._stream.write("\n".join(lines) + "\n")
+                self._stream.flush()
+
+    def _keep(self, record: logging.LogRecord) -> None:
+        self._lines.append(self.format(record))
+        self._wake.set()
+
+    def _report_drops(self) -> None:
+        if not self._dropped:
+            return
+        dropped, self._dropped = self._dropped, 0
+        record = logging.makeLogRecord(
+            {"name": __name__, "msg": "log lines dropped", "levelname": "WARNING"}
+        )
+        record.fields = {"dropped": dropped}
+        self._keep(record)
+
+    def _write(self) -> None:
+        while True:
+            self._wake.wait()
+            time.sleep(_FLUSH_SECONDS)
+            self._wake.clear()
+            try:
+                self.flush()
+            except (OSError, ValueError):
+                return  # the reader is gone, and there is nowhere left to say so
+
+
+def set_up_logs(
+    *, as_json: bool, level: str, lines_per_second: int = LINES_PER_SECOND
+) -> BoundedHandler:
+    """Send all logs to standard output.
+
+    :returns: the handler, whose ``dropped`` counts lines lost.
+    """
+    handler = BoundedHandler(lines_per_second=lines_per_second)
     handler.setFormatter(
         _JsonFormatter()
         if as_json
@@ -42,6 +131,8 @@
     )
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
+    atexit.register(handler.flush)
+    return handler
 
 
 def decide(subject: str, *, chosen: object, reason: str, **fields: object) -> None:
@@ -56,3 +147,14 @@
             "decided",
             extra={"fields": {"subject": subject, "chosen": chosen, "reason": reason, **fields}},
         )
+
+
+def note(logger: logging.Logger, message: str, **fields: object) -> None:
+    """Log an event with its fields at level INFO."""
+    if logger.isEnabledFor(logging.INFO):
+        logger.info(message, extra={"fields": fields})
+
+
+def warn(logger: logging.Logger, message: str, **fields: object) -> None:
+    """Log an event with its fields at level WARNING."""
+    logger.warning(message, extra={"fields": fields})
--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -2,7 +2,18 @@
 
 from wrenloft_policy._admission import Share, TokenBucket, admit, divide_limits
 from wrenloft_policy._ejection import EjectionRule, Ejections
+from wrenloft_policy._endpoints import (
+    Choice,
+    EndpointLoad,
+    Verdict,
+    choose_endpoint,
+    decide_turn,
+    pick_return,
+    predict_answer,
+)
+from wrenloft_policy._engine import EngineProfile, predict_first_event
 from wrenloft_policy._entries import EntryNode, choose_entries
+from wrenloft_policy._fetching import ChunkSource, Pick, choose_fetch, rank_turn
 from wrenloft_policy._ownership import Lease, choose_owner, rank_owners
 from wrenloft_policy._placement import Host, Placed, choose_hosts, matches
 from wrenloft_policy._queue import FairQueue, Ticket, estimate_wait
@@ -17,38 +28,55 @@
     estimate_load,
 )
 from wrenloft_policy._swarm import Permit, Source, choose_chunk, grant_permits, pick_neighbours
+from wrenloft_policy._versions import WantedVersion, choose_version, must_insist
 
 __all__ = [
     "Candidate",
+    "Choice",
     "Chosen",
+    "ChunkSource",
     "EjectionRule",
     "Ejections",
+    "EndpointLoad",
+    "EngineProfile",
     "EntryNode",
     "FairQueue",
     "Host",
     "Lease",
     "Permit",
+    "Pick",
     "Placed",
     "RetryBudget",
     "Share",
     "Source",
     "Ticket",
     "TokenBucket",
+    "Verdict",
+    "WantedVersion",
     "Weights",
     "admit",
     "choose_chunk",
+    "choose_endpoint",
     "choose_entries",
+    "choose_fetch",
     "choose_hosts",
     "choose_least_reported",
     "choose_owner",
     "choose_random",
     "choose_runner",
+    "choose_version",
+    "decide_turn",
     "divide_limits",
     "estimate_load",
     "estimate_wait",
     "grant_permits",
     "matches",
+    "must_insist",
     "pick_backoff",
     "pick_neighbours",
+    "pick_return",
+    "predict_answer",
+    "predict_first_event",
     "rank_owners",
+    "rank_turn",
 ]
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -0,0 +1,146 @@
+"""Which endpoint gets a request now, and whether it is sent, held or refused."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from wrenloft_policy._engine import EngineProfile, predict_first_event
+
+AIM_SHARE = 0.9
+"""Part of the aim that a prediction may use up; the rest covers links and the report's age."""
+
+OTHER_PLACE_SECONDS = 0.008
+"""Worse prediction put up with to stay in the same availability zone; above the links' delay,
+because each byte that crosses is paid for."""
+
+OTHER_REGION_SECONDS = 0.025
+"""The same for the region; about a twentieth of the shortest aim of a stream."""
+
+SUSPECT_SECONDS = 10.0
+"""Put on an endpoint that failed here lately: it is used only if all others are worse."""
+
+SAMPLE = 3
+"""Endpoints compared at first. Entry nodes do not see one another's sends of the last tenth of a
+second; comparing all would send all of them to the same endpoint, a random few spreads them."""
+
+HOLD_SHARE = 0.12
+"""Part of the aim that a request may wait at the entry node for room. One that finds none by then
+is refused while its caller can still ask again in time."""
+
+RETURN_SPREAD = (0.4, 1.6)
+"""Seconds after which refused callers come back, drawn at random so that a burst that was refused
+does not return as one; a slot becomes free about every 0.13 s at each full engine."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """What an entry node knows of one endpoint.
+
+    :param key: what tells it from the others.
+    :param slots: requests that it works on at once.
+    :param running: requests it works on, as last reported, or an estimate from own requests.
+    :param waiting: requests that wait there, as last reported.
+    :param sent_since: requests sent from here since that report.
+    :param distance: 0 in the same availability zone, 1 in the same region, 2 beyond.
+    :param pace: how many times slower it is than its profile.
+    :param suspect: whether requests sent from here failed there lately.
+    """
+
+    key: str
+    slots: int
+    running: int
+    waiting: int
+    sent_since: int
+    distance: int
+    pace: float = 1.0
+    suspect: bool = False
+
+
+class Verdict(Enum):
+    """What to do with a request now."""
+
+    SEND = "send"
+    HOLD = "hold"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """An endpoint and the seconds predicted until its first byte."""
+
+    key: str
+    predicted: float
+
+
+def predict_answer(
+    load: EndpointLoad, engine: EngineProfile | None, prompt_tokens: float, work_seconds: float
+) -> float:
+    """Predict the seconds until an endpoint's first byte.
+
+    Requests sent since the report count as waiting: none of them was in it.
+    """
+    if engine is not None:
+        waiting = load.waiting + load.sent_since
+        return predict_first_event(engine, load.running, waiting, prompt_tokens, load.pace)
+    present = load.running + load.waiting + load.sent_since
+    rounds = present // max(1, load.slots) + 1
+    return rounds * work_seconds * load.pace + present * work_seconds / max(1, load.slots) / 4
+
+
+def choose_endpoint(
+    loads: Sequence[EndpointLoad],
+    engine: EngineProfile | None,
+    prompt_tokens: float,
+    work_seconds: float,
+    random: Random,
+) -> Choice | None:
+    """Choose an endpoint: the best of a random few.
+
+    :returns: ``None`` if there are none.
+    """
+    if not loads:
+        return None
+    sample = random.sample(loads, SAMPLE) if len(loads) > SAMPLE else list(loads)
+
+    def rank(load: EndpointLoad) -> float:
+        far = (0.0, OTHER_PLACE_SECONDS, OTHER_REGION_SECONDS)[load.distance]
+        doubt = SUSPECT_SECONDS if load.suspect else 0.0
+        return predict_answer(load, engine, prompt_tokens, work_seconds) + far + doubt
+
+    best = min(sample, key=rank)
+    return Choice(best.key, predict_answer(best, engine, prompt_tokens, work_seconds))
+
+
+def decide_turn(
+    predicted: float | None, elapsed: float, aim: float, left: float, *, limited: bool
+) -> Verdict:
+    """Decide whether a request is sent, held for a moment, or refused.
+
+    Answers the load at which more comes than the endpoints can take. Sent all the same, requests
+    queue at the endpoints until every answer is late; refused beyond what can be in time, those
+    that are let in have their full worth, and the others know at once when to come back.
+
+    :param predicted: seconds to the first byte at the best endpoint, ``None`` if there is none.
+    :param elapsed: seconds since the request came.
+    :param aim: seconds within which the answer has its full worth.
+    :param left: seconds until nobody waits for the answer.
+    :param limited: whether the service's capacity is scarce, so that late work costs others.
+    """
+    if predicted is not None:
+        if not limited and predicted <= left:
+            return Verdict.SEND
+        if elapsed + predicted <= aim * AIM_SHARE:
+            return Verdict.SEND
+    if elapsed < aim * HOLD_SHARE and left > 0:
+        return Verdict.HOLD
+    return Verdict.REFUSE
+
+
+def pick_return(left: float, random: Random) -> float:
+    """Return the seconds after which a refused caller should come back.
+
+    Callers wait at most a third of the time that they have left.
+    """
+    low, high = RETURN_SPREAD
+    return max(0.05, min(random.uniform(low, high), left / 3))
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_engine.py
@@ -0,0 +1,83 @@
+"""A model engine's times, worked out from what its deployment states."""
+
+from dataclasses import dataclass
+
+_MEAN_CHUNK_SHARE = 0.5
+"""Part of a reading step that an arrival waits on average: it comes in mid-step."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineProfile:
+    """How an engine works through its batch.
+
+    An engine alternates between reading prompts, in pieces of ``chunk`` tokens, and ``stride``
+    token steps of all streams in its batch.
+
+    :param slots: streams in the batch at most.
+    :param stride: token steps in one pass, which become one event.
+    :param step: seconds of a token step.
+    :param step_per_stream: seconds that each stream in the batch adds to a step.
+    :param read_rate: prompt tokens read a second.
+    :param chunk: prompt tokens read in one pass at most.
+    :param usual_prompt: mean tokens of a prompt.
+    :param usual_output: mean tokens of an output.
+    :param memory_tokens: tokens that its memory holds.
+    """
+
+    slots: int
+    stride: int
+    step: float
+    step_per_stream: float
+    read_rate: float
+    chunk: int
+    usual_prompt: float
+    usual_output: float
+    memory_tokens: int = 0
+
+    @property
+    def usual_read(self) -> float:
+        """Seconds to read a usual prompt."""
+        return self.usual_prompt / self.read_rate
+
+    def writing_seconds(self, streams: int) -> float:
+        """Return the seconds of one pass's token steps."""
+        return self.stride * (self.step + self.step_per_stream * streams)
+
+    def pass_seconds(self, streams: int) -> float:
+        """Return the seconds of one pass in a steady state with ``streams`` in the batch.
+
+        Each stream that ends is followed by a new prompt: over the passes of one output, each
+        slot reads one prompt.
+        """
+        passes = max(1.0, self.usual_output / self.stride)
+        reading = streams * self.usual_read / passes
+        return self.writing_seconds(streams) + min(reading, self.chunk / self.read_rate)
+
+    def stream_seconds(self) -> float:
+        """Return the seconds that a usual stream holds its slot in a full batch."""
+        passes = max(1.0, self.usual_output / self.stride)
+        return passes * self.pass_seconds(self.slots) + self.usual_read
+
+
+def predict_first_event(
+    profile: EngineProfile, running: int, waiting: int, prompt_tokens: float, pace: float = 1.0
+) -> float:
+    """Predict the seconds until a request sent now has its first event.
+
+    Three parts: a slot must become free, once for each request beyond the batch; the prompts
+    that wait before it are read; its own is read and its first event written.
+
+    :param running: requests in the batch.
+    :param waiting: requests before this one that are not in the batch.
+    :param pace: how many times slower than its profile the engine is.
+    """
+    ahead = running + waiting + 1 - profile.slots
+    slot_wait = max(0, ahead) * profile.stream_seconds() / profile.slots
+    unread = min(waiting, profile.slots)
+    own_read = prompt_tokens / profile.read_rate
+    started_pass = _MEAN_CHUNK_SHARE * profile.pass_seconds(min(running, profile.slots))
+    first_pass = profile.writing_seconds(min(running + 1, profile.slots))
+    read = unread * profile.usual_read + own_read
+    between = profile.writing_seconds(min(running, profile.slots)) if running else 0.0
+    further_passes = int(read * profile.read_rate / profile.chunk)
+    return pace * (slot_wait + started_pass + read + further_passes * between + first_pass)
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -0,0 +1,88 @@
+"""Routing of callers' requests straight to endpoints, free of any wire format."""
+
+from wrenloft_routing._budget import SharedBudget
+from wrenloft_routing._endpoints import Endpoint, Endpoints, EndpointState, EngineReport
+from wrenloft_routing._events import Event, EventSplitter
+from wrenloft_routing._exchange import (
+    AnswerSink,
+    Attempt,
+    CallerRequest,
+    Headers,
+    Lost,
+    NotSent,
+    OpenAttempt,
+    Rejected,
+    Reply,
+    ReplyBrokenError,
+)
+from wrenloft_routing._forward import Forwarder
+from wrenloft_routing._gate import Ask, Gate, Placed, Refused
+from wrenloft_routing._members import Member, Members
+from wrenloft_routing._peers import (
+    FAR_PING_SECONDS,
+    NEAR_PING_SECONDS,
+    PingRoutes,
+    ReportFollower,
+    ping_forever,
+)
+from wrenloft_routing._proof import CurrencyProof
+from wrenloft_routing._settings import Bounds, EntrySettings
+from wrenloft_routing._streams import Pump, StreamEnd, pump_stream
+from wrenloft_routing._table import (
+    BackendService,
+    Caller,
+    CallerLimits,
+    Origin,
+    RoutingTable,
+    Rule,
+    RuleKind,
+    Target,
+    pick_target,
+)
+
+__all__ = [
+    "FAR_PING_SECONDS",
+    "NEAR_PING_SECONDS",
+    "AnswerSink",
+    "Ask",
+    "Attempt",
+    "BackendService",
+    "Bounds",
+    "Caller",
+    "CallerLimits",
+    "CallerRequest",
+    "CurrencyProof",
+    "Endpoint",
+    "EndpointState",
+    "Endpoints",
+    "EngineReport",
+    "EntrySettings",
+    "Event",
+    "EventSplitter",
+    "Forwarder",
+    "Gate",
+    "Headers",
+    "Lost",
+    "Member",
+    "Members",
+    "NotSent",
+    "OpenAttempt",
+    "Origin",
+    "PingRoutes",
+    "Placed",
+    "Pump",
+    "Refused",
+    "Rejected",
+    "Reply",
+    "ReplyBrokenError",
+    "ReportFollower",
+    "RoutingTable",
+    "Rule",
+    "RuleKind",
+    "SharedBudget",
+    "StreamEnd",
+    "Target",
+    "pick_target",
+    "ping_forever",
+    "pump_stream",
+]
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -0,0 +1,228 @@
+"""The endpoints of all services: what the list says of them and what this node saw itself."""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wrenloft_core import AgentId, PlaceName, RegionName, ServiceName, note, read_clock
+from wrenloft_policy import EndpointLoad
+
+_LOG = logging.getLogger(__name__)
+
+SUSPECT_SECONDS = 1.5
+"""How long a first failure keeps requests away; doubled by each further one in a row."""
+
+SUSPECT_LONGEST = 6.0
+"""Half of the shortest recovery that operators allow, so that a return is noticed in time."""
+
+FULL_SECONDS = 0.12
+"""How long an endpoint that said it was full is passed over: about one slot becomes free."""
+
+REPORT_STALE_SECONDS = 0.7
+"""Age after which an agent's report is no longer used: seven reports were missed."""
+
+HEADER_STALE_SECONDS = 0.5
+"""Age after which the load that came with an answer is no longer used."""
+
+MISSED_READS = 2
+"""Reads of the list in a row, without the store's disturbance, before a missing entry counts as
+gone for good: one read may show the moment between two leases."""
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One incarnation of an endpoint, as the list names it.
+
+    :param versions: version of each model that it serves.
+    """
+
+    agent_id: AgentId
+    service: ServiceName
+    address: str
+    place: PlaceName
+    region: RegionName
+    slots: int
+    leaving: bool = False
+    versions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an agent reports of its own engine.
+
+    :param version: of the model's weights in service, 0 if there are none.
+    :param loading: whether an order is in progress, during which nothing new is taken.
+    """
+
+    running: int
+    waiting: int
+    version: int
+    loading: bool
+    pace: float
+    memory_share: float
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """An endpoint and what this node knows of it beyond the list."""
+
+    endpoint: Endpoint
+    leaving: bool = False
+    own: int = 0
+    failures: int = 0
+    suspect_until: float = 0.0
+    full_until: float = 0.0
+    report: EngineReport | None = None
+    reported_at: float = 0.0
+    header_load: tuple[int, int, int] | None = None
+    header_at: float = 0.0
+    sent_since: int = 0
+    seen_version: int = 0
+    missed: int = 0
+
+    def version_of(self, model: str | None) -> int:
+        """Return the newest known version of a model's weights there."""
+        listed = self.endpoint.versions.get(model or "", 0)
+        reported = self.report.version if self.report is not None else 0
+        return max(listed, reported, self.seen_version)
+
+
+class Endpoints:
+    """All endpoints by id.
+
+    :param place: this node's availability zone.
+    """
+
+    def __init__(self, place: PlaceName, region: RegionName) -> None:
+        self._place = place
+        self._region = region
+        self._states: dict[AgentId, EndpointState] = {}
+        self._left: dict[AgentId, float] = {}
+        self._by_service: dict[ServiceName, list[EndpointState]] = {}
+        self.changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake whoever waits for room."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def update(self, listed: Iterable[Endpoint], *, trusted: bool) -> None:
+        """Take a new reading of the list.
+
+        A leaving endpoint stays leaving, whatever a later reading says: an older reading that
+        arrives late would otherwise send it new requests after it had been told to go.
+
+        :param trusted: whether a missing entry may count as gone. Entries lapse while the store
+            is away without their endpoints having died; taking them for dead would empty the
+            list at the moment when nothing can refill it.
+        """
+        seen = {each.agent_id: each for each in listed}
+        for agent_id, endpoint in seen.items():
+            self._take(agent_id, endpoint)
+        for agent_id, state in list(self._states.items()):
+            if agent_id not in seen and trusted:
+                state.missed += 1
+                if state.missed >= MISSED_READS:
+                    self._drop(agent_id)
+        self._index()
+
+    def _take(self, agent_id: AgentId, endpoint: Endpoint) -> None:
+        state = self._states.get(agent_id)
+        if state is None:
+            state = EndpointState(endpoint, leaving=agent_id in self._left)
+            self._states[agent_id] = state
+            note(
+                _LOG,
+                "endpoint listed",
+                endpoint=agent_id,
+                service=endpoint.service,
+                address=endpoint.address,
+            )
+        state.endpoint = endpoint
+        state.missed = 0
+        if endpoint.leaving and not state.leaving:
+            self.mark_leaving(agent_id, "list")
+
+    def mark_leaving(self, agent_id: AgentId, source: str) -> None:
+        """Send it nothing more, whatever the list says later."""
+        self._left[agent_id] = read_clock()
+        if (state := self._states.get(agent_id)) is not None and not state.leaving:
+            state.leaving = True
+            note(_LOG, "endpoint leaving", endpoint=agent_id, source=source)
+
+    def _drop(self, agent_id: AgentId) -> None:
+        state = self._states.pop(agent_id)
+        self._left[agent_id] = read_clock()
+        note(_LOG, "endpoint gone", endpoint=agent_id, service=state.endpoint.service)
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for state in self._states.values():
+            self._by_service.setdefault(state.endpoint.service, []).append(state)
+        self.notify()
+
+    def get(self, agent_id: AgentId) -> EndpointState | None:
+        """Return an endpoint's state, if it is known."""
+        return self._states.get(agent_id)
+
+    def of_service(self, service: ServiceName) -> list[EndpointState]:
+        """Return the known endpoints of a service, leaving ones included."""
+        return self._by_service.get(service, [])
+
+    def find_address(self, address: str) -> list[EndpointState]:
+        """Return the incarnations listed at an address."""
+        return [each for each in self._states.values() if each.endpoint.address == address]
+
+    def record_report(self, address: str, report: EngineReport, now: float) -> None:
+        """Take an agent's report of its engine."""
+        for state in self.find_address(address):
+            state.report = report
+            state.reported_at = now
+            state.sent_since = 0
+        self.notify()
+
+    def record_header(
+        self, state: EndpointState, load: tuple[int, int, int] | None, now: float
+    ) -> None:
+        """Take the load that came with an answer."""
+        if load is not None:
+            state.header_load = load
+            state.header_at = now
+            if now - state.reported_at > REPORT_STALE_SECONDS:
+                state.sent_since = 0
+
+    def record_success(self, state: EndpointState) -> None:
+        """Forget failures."""
+        state.failures = 0
+        state.suspect_until = 0.0
+
+    def record_failure(self, state: EndpointState, now: float) -> None:
+        """Keep requests away for a while, longer each time in a row."""
+        pause = min(SUSPECT_LONGEST, SUSPECT_SECONDS * 2**state.failures)
+        state.failures += 1
+        state.suspect_until = now + pause
+
+    def measure(self, state: EndpointState, now: float) -> EndpointLoad:
+        """Return an endpoint's load as the choice reads it."""
+        running, waiting, pace = state.own, 0, 1.0
+        slots = state.endpoint.slots
+        if state.report is not None and now - state.reported_at < REPORT_STALE_SECONDS:
+            running, waiting = state.report.running, state.report.waiting
+            pace = max(1.0, state.report.pace)
+        elif state.header_load is not None and now - state.header_at < HEADER_STALE_SECONDS:
+            running, waiting, slots = state.header_load
+        endpoint = state.endpoint
+        distance = 0 if endpoint.place == self._place else 1
+        if endpoint.region != self._region:
+            distance = 2
+        return EndpointLoad(
+            key=endpoint.agent_id,
+            slots=slots,
+            running=running,
+            waiting=waiting,
+            sent_since=state.sent_since,
+            distance=distance,
+            pace=pace,
+            suspect=state.suspect_until > now,
+        )
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_events.py
@@ -0,0 +1,48 @@
+"""Cutting an event stream into whole events, and checking their order."""
+
+from dataclasses import dataclass
+
+_END = b"\n\n"
+_ID = b"id:"
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One whole event as it came, with its id if it has one."""
+
+    data: bytes
+    number: int | None
+
+
+class EventSplitter:
+    """Collects bytes and gives out whole events.
+
+    Only whole events are passed on: an endpoint may stop in the middle of one, and its rest
+    would be joined to the first event of the endpoint that goes on.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def torn(self) -> bool:
+        """Whether part of an event is left."""
+        return bool(self._rest.strip())
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Add bytes, and return the events that are whole now."""
+        self._rest += data
+        if _END not in self._rest:
+            return []
+        *whole, self._rest = self._rest.split(_END)
+        return [Event(each + _END, _read_number(each)) for each in whole]
+
+
+def _read_number(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(_ID):
+            try:
+                return int(line[len(_ID) :])
+            except ValueError:
+                return None
+    return None
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -0,0 +1,136 @@
+"""What the forwarder needs of a caller's connection and of a connection to an endpoint."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from wrenloft_core import OrganisationName, RequestId
+from wrenloft_routing._endpoints import Endpoint
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One caller's request as it was read.
+
+    :param target: path and query exactly as sent.
+    :param headers: those that go on to the endpoint, as sent.
+    :param key: the caller's key, if one came.
+    :param patience: seconds that the caller will wait, ``None`` if it did not say.
+    :param prompt_tokens: tokens to be read, 0 if it did not say.
+    :param last_event: id of the last event that the caller has of an earlier stream.
+    :param arrived: time of arrival on :func:`wrenloft_core.read_clock`.
+    """
+
+    request_id: RequestId
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: Headers
+    body: bytes
+    key: str | None
+    patience: float | None
+    prompt_tokens: float
+    last_event: int | None
+    arrived: float
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One sending of a request to one endpoint.
+
+    :param left: seconds that the endpoint may take.
+    :param organisation: whose key the caller has, ``None`` if the rule needs none.
+    :param version: the only version of weights on which it may run, ``None`` for any.
+    """
+
+    request: CallerRequest
+    endpoint: Endpoint
+    left: float
+    organisation: OrganisationName | None
+    version: int | None
+    last_event: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request left this host."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The endpoint said that the request did not run.
+
+    :param mistaken: whether it is not the endpoint, or not the version, that was meant.
+    """
+
+    reason: str
+    mistaken: bool
+    load: tuple[int, int, int] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent, and what became of it is not known."""
+
+    reason: str
+
+
+class ReplyBrokenError(Exception):
+    """An answer ended before it was complete."""
+
+
+class Reply(Protocol):
+    """The head of an endpoint's answer, with its body still to come.
+
+    ``genuine`` tells whether it is the endpoint's answer to this request.
+    """
+
+    status: int
+    headers: Headers
+    load: tuple[int, int, int] | None
+    version: int | None
+    genuine: bool
+    is_stream: bool
+    leaving: bool
+
+    async def read_whole(self) -> bytes:
+        """Return the body.
+
+        :raises ReplyBrokenError: if it ended early.
+        """
+
+    async def read_some(self) -> bytes:
+        """Return the next bytes, empty at the end.
+
+        :raises ReplyBrokenError: if it ended early.
+        """
+
+    async def close(self, *, reusable: bool) -> None:
+        """Give the connection back, or close it, which ends the work at the endpoint."""
+
+
+OpenAttempt = Callable[[Attempt], Awaitable[Reply | NotSent | Rejected | Lost]]
+
+
+class AnswerSink(Protocol):
+    """A caller's connection, on which one answer is due."""
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of a streamed answer."""
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes of a streamed answer."""
+
+    async def end(self) -> None:
+        """End a streamed answer as complete."""
+
+    def abort(self) -> None:
+        """Break off a streamed answer so that it can't look complete."""
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -0,0 +1,447 @@
+"""One caller's request, from its arrival to its final answer."""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+from random import Random
+
+from prometheus_client import Counter, Histogram
+
+from wrenloft_core import (
+    AgentId,
+    Done,
+    NotRun,
+    OrganisationName,
+    Outcome,
+    Unknown,
+    note,
+    read_clock,
+)
+from wrenloft_policy import pick_return
+from wrenloft_routing._budget import SharedBudget
+from wrenloft_routing._endpoints import FULL_SECONDS, Endpoints, EndpointState
+from wrenloft_routing._exchange import (
+    AnswerSink,
+    Attempt,
+    CallerRequest,
+    Headers,
+    Lost,
+    NotSent,
+    OpenAttempt,
+    Rejected,
+    Reply,
+    ReplyBrokenError,
+)
+from wrenloft_routing._gate import Ask, Gate, Placed, Refused
+from wrenloft_routing._proof import CurrencyProof
+from wrenloft_routing._streams import Pump, StreamEnd, pump_stream
+from wrenloft_routing._table import BackendService, RoutingTable, Rule, RuleKind, pick_target
+
+_LOG = logging.getLogger(__name__)
+
+_NOT_SENT_LIMIT = 4
+"""Endpoints that may fail to connect before a request is given up; a connection is tried for a
+quarter of a second, so this is one second in all."""
+
+_SILENCE_AIMS = 4.0
+"""Aims after which an idempotent request that has no answer is tried elsewhere, if time is left:
+late already, it can still be answered before its caller gives up."""
+
+_SILENCE_SHARE = 0.4
+"""Part of the time left that a silent endpoint may use up before another is tried."""
+
+_LAST_LEFT = 0.03
+"""Seconds below which a request is not sent any more: the way there and back takes 8 ms, and a
+plain service works 20 ms on it."""
+
+_CONNECT_RETRY_SECONDS = 0.03
+"""When a caller should come back whose request was rejected by an endpoint that others replace."""
+
+REQUESTS = Counter("wrenloft_requests", "Requests by outcome", ["kind", "outcome"])
+SECONDS = Histogram(
+    "wrenloft_request_seconds",
+    "Seconds from arrival to the final answer",
+    ["kind"],
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4),
+)
+FIRST_SECONDS = Histogram(
+    "wrenloft_first_event_seconds",
+    "Seconds from arrival to a stream's first event",
+    buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.6, 3.2),
+)
+ATTEMPTS = Counter("wrenloft_attempts", "Sendings to endpoints by result", ["result"])
+
+
+@dataclass(slots=True)
+class _Course:
+    """What has happened to one request so far."""
+
+    request: CallerRequest
+    rule: Rule
+    service: BackendService
+    organisation: OrganisationName | None
+    rank: int
+    deadline: float
+    tried: set[AgentId] = field(default_factory=set)
+    attempts: int = 0
+    not_sent: int = 0
+    may_have_run: bool = False
+    peer: str = ""
+    pump: Pump = field(default_factory=Pump)
+
+    @property
+    def left(self) -> float:
+        return self.deadline - read_clock()
+
+
+class Forwarder:
+    """Takes callers' requests and sees each to its final answer.
+
+    :param open_attempt: sends one attempt and returns the head of the answer.
+    """
+
+    def __init__(
+        self,
+        endpoints: Endpoints,
+        gate: Gate,
+        budget: SharedBudget,
+        proof: CurrencyProof,
+        open_attempt: OpenAttempt,
+        random: Random,
+    ) -> None:
+        self.table: RoutingTable | None = None
+        self._endpoints = endpoints
+        self._gate = gate
+        self._budget = budget
+        self._proof = proof
+        self._open = open_attempt
+        self._random = random
+
+    async def forward(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
+        """Answer a request; every way out gives exactly one final answer."""
+        course = self._admit(request)
+        if isinstance(course, NotRun):
+            await self._refuse(course, sink)
+            self._conclude(request, "none", course, None)
+            return course
+        outcome = await self._run(course, sink)
+        if isinstance(outcome, NotRun):
+            await self._refuse(outcome, sink)
+        elif isinstance(outcome, Unknown):
+            await self._fail(course, outcome, sink)
+        self._conclude(request, course.rule.kind.value, outcome, course)
+        return outcome
+
+    def _admit(self, request: CallerRequest) -> _Course | NotRun:
+        """Check that the configuration allows the request."""
+        table = self.table
+        if table is None:
+            return NotRun("admit", "no configuration yet", retry_after=0.5)
+        rule = table.find_rule(request.host, request.path)
+        if rule is None:
+            return NotRun("admit", "no rule matches", status=404)
+        organisation, rank = None, rule.rank
+        if table.keyed and not rule.public:
+            if not self._proof.allows_keys():
+                # A key may have been taken away unseen; a request sent on would break that.
+                reason = f"configuration proved {self._proof.age:.2f} s ago"
+                return NotRun("admit", reason, retry_after=0.3)
+            caller = table.callers.get(request.key or "")
+            if caller is None:
+                return NotRun("admit", "unknown key", status=401)
+            organisation = caller.organisation
+            rank = rule.rank if caller.rank is None else caller.rank
+        service = table.services.get(pick_target(rule.targets, self._random))
+        if service is None:
+            return NotRun("admit", "service not configured", retry_after=0.5)
+        patience = rule.timeout if request.patience is None else request.patience
+        deadline = request.arrived + min(patience, rule.timeout)
+        return _Course(request, rule, service, organisation, rank, deadline)
+
+    async def _run(self, course: _Course, sink: AnswerSink) -> Outcome:
+        """Send attempts until one gives the answer or no further one is allowed."""
+        self._budget.earn(course.service.name, read_clock())
+        while True:
+            placed = await self._place(course)
+            if isinstance(placed, Refused):
+                return self._give_up(course, "place", placed.reason)
+            outcome = await self._attempt(course, placed, sink)
+            if outcome is not None:
+                return outcome
+
+    async def _place(self, course: _Course) -> Placed | Refused:
+        if course.left < _LAST_LEFT:
+            return Refused("no time left", 0)
+        ask = Ask(
+            service=course.service,
+            rank=course.rank,
+            prompt_tokens=course.request.prompt_tokens,
+            since=course.request.arrived if course.attempts == 0 else read_clock(),
+            aim=course.rule.aim,
+            deadline=course.deadline,
+        )
+        return await self._gate.place(ask, course.tried)
+
+    async def _attempt(
+        self, course: _Course, placed: Placed, sink: AnswerSink
+    ) -> Outcome | None:
+        """Send once; ``None`` means that another attempt may follow."""
+        state = placed.state
+        state.own += 1
+        state.sent_since += 1
+        course.peer = state.endpoint.agent_id
+        self._log_attempt(course, placed)
+        started = read_clock()
+        try:
+            result = await self._open_within(course, placed)
+            if not isinstance(result, NotSent | Rejected | Lost):
+                return await self._take_reply(course, state, result, sink, started)
+        finally:
+            state.own -= 1
+            self._endpoints.notify()
+        ATTEMPTS.labels(type(result).__name__).inc()
+        note(
+            _LOG,
+            "attempt failed",
+            request=course.request.request_id,
+            endpoint=course.peer,
+            result=type(result).__name__,
+            reason=result.reason,
+            ms=round((read_clock() - started) * 1000),
+        )
+        course.tried.add(state.endpoint.agent_id)
+        if isinstance(result, NotSent):
+            return self._after_not_sent(course, state, result)
+        course.attempts += 1
+        if isinstance(result, Rejected):
+            return self._after_rejected(course, state, result)
+        self._endpoints.record_failure(state, read_clock())
+        return self._after_lost(course, "send", result.reason)
+
+    async def _open_within(
+        self, course: _Course, placed: Placed
+    ) -> Reply | NotSent | Rejected | Lost:
+        left = course.left
+        attempt = Attempt(
+            request=course.request,
+            endpoint=placed.state.endpoint,
+            left=left,
+            organisation=course.organisation,
+            version=placed.version,
+            last_event=course.pump.last if course.pump.last is not None else None,
+        )
+        try:
+            async with asyncio.timeout(self._silence_limit(course, left)):
+                return await self._open(attempt)
+        except TimeoutError:
+            self._endpoints.record_failure(placed.state, read_clock())
+            return Lost("no answer in time")
+
+    def _silence_limit(self, course: _Course, left: float) -> float:
+        """Return how long an endpoint may stay silent before it is given up."""
+        if not self._may_repeat(course, course.attempts + 1):
+            return left
+        return min(left, max(course.rule.aim * _SILENCE_AIMS, left * _SILENCE_SHARE))
+
+    def _may_repeat(self, course: _Course, attempts: int) -> bool:
+        return course.rule.idempotent and attempts < course.rule.max_attempts
+
+    def _after_not_sent(
+        self, course: _Course, state: EndpointState, result: NotSent
+    ) -> Outcome | None:
+        self._endpoints.record_failure(state, read_clock())
+        course.not_sent += 1
+        if course.not_sent >= _NOT_SENT_LIMIT:
+            return self._give_up(course, "connect", result.reason)
+        return None
+
+    def _after_rejected(
+        self, course: _Course, state: EndpointState, result: Rejected
+    ) -> Outcome | None:
+        """A rejected request has not run, so it may go elsewhere if the budget allows."""
+        now = read_clock()
+        state.full_until = now + FULL_SECONDS
+        self._endpoints.record_header(state, result.load, now)
+        if result.mistaken:
+            self._endpoints.record_failure(state, now)
+        allowed = course.attempts < course.rule.max_attempts
+        if allowed and self._budget.spend(course.service.name, now):
+            return None
+        return self._give_up(course, "endpoint", result.reason)
+
+    def _after_lost(self, course: _Course, step: str, reason: str) -> Outcome | None:
+        course.may_have_run = True
+        if self._may_repeat(course, course.attempts) and course.left > _LAST_LEFT:
+            if self._budget.spend(course.service.name, read_clock()):
+                return None
+            reason = f"{reason}; no second try left in the budget"
+        return Unknown(step, reason, course.peer)
+
+    def _give_up(self, course: _Course, step: str, reason: str) -> Outcome:
+        """End a request that nobody runs; say "not run" only if that is certain."""
+        if course.may_have_run:
+            return Unknown(step, reason, course.peer)
+        if course.attempts or course.not_sent:
+            retry_after = _CONNECT_RETRY_SECONDS
+        else:
+            retry_after = pick_return(max(0.0, course.left), self._random)
+        return NotRun(step, reason, course.peer, retry_after=retry_after)
+
+    async def _take_reply(
+        self,
+        course: _Course,
+        state: EndpointState,
+        reply: Reply,
+        sink: AnswerSink,
+        started: float,
+    ) -> Outcome | None:
+        """Pass an answer on, or decide that it is none."""
+        course.attempts += 1
+        now = read_clock()
+        self._endpoints.record_header(state, reply.load, now)
+        if reply.version is not None:
+            state.seen_version = max(state.seen_version, reply.version)
+        try:
+            if not reply.genuine:
+                return self._drop_reply(course, state, "answer is not this request's")
+            if reply.status >= 500 and self._may_repeat(course, course.attempts):
+                if self._budget.spend(course.service.name, now):
+                    ATTEMPTS.labels("failed").inc()
+                    course.tried.add(state.endpoint.agent_id)
+                    course.may_have_run = True
+                    await self._drain(reply)
+                    return None
+            if reply.is_stream and reply.status < 300:
+                return await self._relay_stream(course, state, reply, sink)
+            return await self._relay_whole(course, state, reply, sink, started)
+        finally:
+            await reply.close(reusable=False)
+
+    async def _drain(self, reply: Reply) -> None:
+        """Read a short answer to its end, so that its connection can be used again."""
+        try:
+            async with asyncio.timeout(_CONNECT_RETRY_SECONDS):
+                await reply.read_whole()
+                await reply.close(reusable=True)
+        except (ReplyBrokenError, TimeoutError):
+            return
+
+    def _drop_reply(
+        self, course: _Course, state: EndpointState, reason: str
+    ) -> Outcome | None:
+        ATTEMPTS.labels("broken").inc()
+        note(
+            _LOG,
+            "answer dropped",
+            request=course.request.request_id,
+            endpoint=course.peer,
+            reason=reason,
+        )
+        course.tried.add(state.endpoint.agent_id)
+        return self._after_lost(course, "read", reason)
+
+    async def _relay_whole(
+        self,
+        course: _Course,
+        state: EndpointState,
+        reply: Reply,
+        sink: AnswerSink,
+        started: float,
+    ) -> Outcome | None:
+        try:
+            async with asyncio.timeout(max(0.0, course.left)):
+                body = await reply.read_whole()
+        except TimeoutError:
+            return Unknown("read", "deadline passed", course.peer)
+        except ReplyBrokenError as error:
+            return self._drop_reply(course, state, f"answer broke off: {error}")
+        await reply.close(reusable=True)
+        self._endpoints.record_success(state)
+        if course.rule.kind is not RuleKind.STREAM:
+            self._gate.record_work(course.service.name, read_clock() - started)
+        ATTEMPTS.labels("answered").inc()
+        await sink.send_whole(reply.status, reply.headers, body)
+        return Done(course.peer)
+
+    async def _relay_stream(
+        self, course: _Course, state: EndpointState, reply: Reply, sink: AnswerSink
+    ) -> Outcome | None:
+        first = not course.pump.begun
+        end = await pump_stream(
+            reply,
+            sink,
+            course.pump,
+            first_limit=self._silence_limit(course, course.left),
+            gap_aim=course.rule.gap_aim,
+            deadline=course.deadline,
+            resumable=self._may_repeat(course, course.attempts),
+        )
+        if first and course.pump.begun:
+            FIRST_SECONDS.observe(course.pump.begun_at - course.request.arrived)
+        if end is StreamEnd.COMPLETE:
+            await reply.close(reusable=True)
+            self._endpoints.record_success(state)
+            ATTEMPTS.labels("answered").inc()
+            await sink.end()
+            return Done(course.peer)
+        if end is StreamEnd.DEADLINE:
+            return Unknown("stream", "deadline passed", course.peer)
+        if end is StreamEnd.STALLED:
+            self._endpoints.record_failure(state, read_clock())
+        return self._drop_reply(course, state, f"stream {end.value}")
+
+    async def _refuse(self, outcome: NotRun, sink: AnswerSink) -> None:
+        headers: Headers = (("Content-Type", "text/plain"),)
+        if outcome.retry_after is not None:
+            headers += (("Retry-After", f"{outcome.retry_after:.2f}"),)
+        body = f"{outcome.step}: {outcome.reason}\n".encode()
+        await sink.send_whole(outcome.status, headers, body)
+
+    async def _fail(self, course: _Course, outcome: Unknown, sink: AnswerSink) -> None:
+        if course.pump.begun:
+            sink.abort()
+            return
+        status = 504 if course.left <= 0 else 502
+        body = f"{outcome.step}: {outcome.reason}\n".encode()
+        await sink.send_whole(status, (("Content-Type", "text/plain"),), body)
+
+    def _log_attempt(self, course: _Course, placed: Placed) -> None:
+        state = placed.state
+        now = read_clock()
+        note(
+            _LOG,
+            "attempt",
+            request=course.request.request_id,
+            rule=course.rule.name,
+            endpoint=course.peer,
+            attempt=course.attempts + 1,
+            predicted_ms=round(placed.predicted * 1000),
+            candidates=placed.candidates,
+            report_age_ms=round(min(now - state.reported_at, 99.0) * 1000),
+            revision=self.table.revision if self.table else 0,
+            proof_age_ms=round(min(self._proof.age, 99.0) * 1000),
+            left_ms=round(course.left * 1000),
+            version=placed.version,
+            resumed_after=course.pump.last,
+        )
+
+    def _conclude(
+        self, request: CallerRequest, kind: str, outcome: Outcome, course: _Course | None
+    ) -> None:
+        seconds = read_clock() - request.arrived
+        name = type(outcome).__name__
+        REQUESTS.labels(kind, name).inc()
+        SECONDS.labels(kind).observe(seconds)
+        note(
+            _LOG,
+            "request ended",
+            request=request.request_id,
+            outcome=name,
+            step=getattr(outcome, "step", ""),
+            reason=getattr(outcome, "reason", ""),
+            endpoint=getattr(outcome, "peer", ""),
+            status=getattr(outcome, "status", None),
+            retry_after=getattr(outcome, "retry_after", None),
+            attempts=course.attempts if course else 0,
+            ms=round(seconds * 1000),
+        )
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -0,0 +1,149 @@
+"""Waiting for room at an endpoint: most urgent first, briefly, refused early."""
+
+import asyncio
+from collections.abc import Collection
+from dataclasses import dataclass
+from random import Random
+
+from wrenloft_core import AgentId, ServiceName, read_clock
+from wrenloft_policy import Verdict, WantedVersion, choose_endpoint, decide_turn, must_insist
+from wrenloft_routing._endpoints import Endpoints, EndpointState
+from wrenloft_routing._table import BackendService
+
+WORK_SECONDS = 0.03
+"""Seconds a plain service works on a request, until answers have shown better."""
+
+_WORK_WEIGHT = 0.05
+"""Weight of one answer in the running mean: the last 20 answers count most."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request that wants an endpoint.
+
+    :param rank: 0 for the most urgent.
+    :param since: when it began to wait.
+    :param aim: seconds from ``since`` within which it has its full worth.
+    :param deadline: when nobody waits any more.
+    """
+
+    service: BackendService
+    rank: int
+    prompt_tokens: float
+    since: float
+    aim: float
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The endpoint that was chosen, and what the choice was made from."""
+
+    state: EndpointState
+    predicted: float
+    candidates: int
+    version: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """No endpoint can answer in time."""
+
+    reason: str
+    candidates: int
+
+
+class Gate:
+    """Places requests at endpoints.
+
+    :param version_seconds: from naming a version until requests may begin on it only.
+    """
+
+    def __init__(self, endpoints: Endpoints, random: Random, version_seconds: float) -> None:
+        self._endpoints = endpoints
+        self._random = random
+        self._version_seconds = version_seconds
+        self._waiting: dict[ServiceName, list[Ask]] = {}
+        self._work: dict[ServiceName, float] = {}
+        self.wanted: dict[str, WantedVersion] = {}
+
+    def record_work(self, service: ServiceName, seconds: float) -> None:
+        """Take the time that a plain service needed for an answer."""
+        mean = self._work.get(service, WORK_SECONDS)
+        self._work[service] = mean + _WORK_WEIGHT * (seconds - mean)
+
+    def required_version(self, service: BackendService, now: float) -> int | None:
+        """Return the version on which requests must begin now, if any."""
+        wanted = self.wanted.get(service.model or "")
+        if wanted is None or not must_insist(wanted, self._version_seconds, now):
+            return None
+        return wanted.number
+
+    async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
+        """Return an endpoint with room, waiting a moment for one if it must."""
+        line = self._waiting.setdefault(ask.service.name, [])
+        line.append(ask)
+        try:
+            while True:
+                changed = self._endpoints.changed
+                outcome = self._decide(ask, tried)
+                if outcome is not None:
+                    return outcome
+                await _wait(changed, ask)
+        finally:
+            line.remove(ask)
+
+    def _decide(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused | None:
+        now = read_clock()
+        able = self._list_able(ask.service, tried, now)
+        loads = [self._endpoints.measure(each, now) for each in able]
+        work = self._work.get(ask.service.name, WORK_SECONDS)
+        choice = choose_endpoint(
+            loads, ask.service.engine, ask.prompt_tokens, work, self._random
+        )
+        urgent = any(each.rank < ask.rank for each in self._waiting[ask.service.name])
+        verdict = decide_turn(
+            None if choice is None or urgent else choice.predicted,
+            now - ask.since,
+            ask.aim,
+            ask.deadline - now,
+            limited=ask.service.engine is not None,
+        )
+        if verdict is Verdict.SEND and choice is not None:
+            state = next(each for each in able if each.endpoint.agent_id == choice.key)
+            required = self.required_version(ask.service, now)
+            return Placed(state, choice.predicted, len(able), required)
+        if verdict is Verdict.REFUSE:
+            known = len(self._endpoints.of_service(ask.service.name))
+            if choice is None:
+                return Refused(f"none of {known} endpoints can take it", 0)
+            return Refused(f"best of {len(able)} needs {choice.predicted:.3f} s", len(able))
+        return None
+
+    def _list_able(
+        self, service: BackendService, tried: Collection[AgentId], now: float
+    ) -> list[EndpointState]:
+        required = self.required_version(service, now) or 0
+        return [
+            each
+            for each in self._endpoints.of_service(service.name)
+            if not each.leaving
+            and each.endpoint.agent_id not in tried
+            and each.full_until <= now
+            and (service.model is None or _serves(each, service.model, required))
+        ]
+
+
+def _serves(state: EndpointState, model: str, required: int) -> bool:
+    if state.report is not None and state.report.loading:
+        return False
+    return state.version_of(model) >= max(1, required)
+
+
+async def _wait(changed: asyncio.Event, ask: Ask) -> None:
+    """Wait for a change, for at most a quarter of what the aim leaves for waiting."""
+    try:
+        async with asyncio.timeout(max(0.005, ask.aim * 0.03)):
+            await changed.wait()
+    except TimeoutError:
+        pass
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -0,0 +1,99 @@
+"""Passing an event stream on, and noticing when it no longer comes."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from wrenloft_core import read_clock
+from wrenloft_routing._events import Event, EventSplitter
+from wrenloft_routing._exchange import AnswerSink, Reply, ReplyBrokenError
+
+STALL_GAPS = 2.5
+"""Aimed pauses after which a stream counts as stalled if it may go on elsewhere. Within twice the
+pause a busy engine still writes; callers leave after eight times the pause at the earliest."""
+
+
+class StreamEnd(Enum):
+    """How a stream from one endpoint ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broke off"
+    STALLED = "stalled"
+    DEADLINE = "deadline passed"
+
+
+@dataclass(slots=True)
+class Pump:
+    """How far a stream has come, over all endpoints that wrote it.
+
+    :param last: id of the last event that was passed on.
+    """
+
+    begun: bool = False
+    begun_at: float = 0.0
+    last: int | None = None
+
+
+async def pump_stream(
+    reply: Reply,
+    sink: AnswerSink,
+    pump: Pump,
+    *,
+    first_limit: float,
+    gap_aim: float,
+    deadline: float,
+    resumable: bool,
+) -> StreamEnd:
+    """Pass events on until the endpoint's stream ends.
+
+    The caller's head is sent with the first whole event: until then the request can still be
+    tried elsewhere, or refused with its own status.
+
+    :param first_limit: seconds until the first event.
+    :param resumable: whether a stall may end this endpoint's stream; if not, its silence is
+        borne until the deadline, since nobody else could go on.
+    """
+    splitter = EventSplitter()
+    limit = first_limit
+    while True:
+        left = deadline - read_clock()
+        if left <= 0:
+            return StreamEnd.DEADLINE
+        wait = min(left, limit) if resumable else left
+        try:
+            async with asyncio.timeout(wait):
+                data = await reply.read_some()
+        except TimeoutError:
+            return StreamEnd.DEADLINE if wait >= left else StreamEnd.STALLED
+        except ReplyBrokenError:
+            return StreamEnd.BROKEN
+        if not data:
+            return StreamEnd.BROKEN if splitter.torn or not pump.begun else StreamEnd.COMPLETE
+        events = splitter.feed(data)
+        if not events:
+            continue
+        if not _follow_on(events, pump.last):
+            return StreamEnd.BROKEN
+        await _pass_on(events, reply, sink, pump)
+        limit = gap_aim * STALL_GAPS
+
+
+def _follow_on(events: list[Event], last: int | None) -> bool:
+    """Check that no event is missing, doubled or from another run."""
+    for event in events:
+        if event.number is not None:
+            if last is not None and event.number != last + 1:
+                return False
+            last = event.number
+    return True
+
+
+async def _pass_on(events: list[Event], reply: Reply, sink: AnswerSink, pump: Pump) -> None:
+    if not pump.begun:
+        await sink.begin(reply.status, reply.headers)
+        pump.begun = True
+        pump.begun_at = read_clock()
+    for event in events:
+        if event.number is not None:
+            pump.last = event.number
+    await sink.write(b"".join(event.data for event in events))
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_table.py
@@ -0,0 +1,144 @@
+"""The routing table: what operators allow, as the decisions read it."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from wrenloft_core import ModelName, OrganisationName, Revision, ServiceName
+from wrenloft_policy import EngineProfile
+
+
+class RuleKind(Enum):
+    """What may be repeated."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A service that a rule sends to, with its part of the rule's requests."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """One routing rule.
+
+    :param timeout: seconds after which every request has its final answer.
+    :param aim: seconds within which an answer has its full worth.
+    :param rank: 0 for the most urgent.
+    :param max_attempts: endpoints that one request may be sent to.
+    :param public: whether callers need no key.
+    :param resumable: whether a stream may go on at another endpoint.
+    :param gap_aim: longest pause between two events of a stream, in seconds.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RuleKind
+    timeout: float
+    aim: float
+    rank: int
+    targets: tuple[Target, ...]
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim: float = 0.4
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RuleKind.SAFE or (self.kind is RuleKind.STREAM and self.resumable)
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where weights come from.
+
+    :param link_rate: bits a second of its link.
+    """
+
+    address: str
+    link_rate: float
+    max_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class BackendService:
+    """A set of endpoints that do the same work.
+
+    :param model: what its engines run, ``None`` for a plain service.
+    :param chunk_count: chunks of one version of its weights.
+    """
+
+    name: ServiceName
+    max_connections: int
+    engine: EngineProfile | None = None
+    model: ModelName | None = None
+    chunk_count: int = 0
+    chunk_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take.
+
+    :param header_bytes: largest head of a request.
+    :param body_bytes: largest body of a request.
+    :param header_seconds: longest time for the head to arrive.
+    :param idle_seconds: longest idle time of a connection.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Whom a key belongs to; ``rank`` goes before the rule's if it is given."""
+
+    organisation: OrganisationName
+    rank: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """Everything in force at one revision; replaced whole, never changed."""
+
+    revision: Revision
+    rules: tuple[Rule, ...]
+    services: Mapping[ServiceName, BackendService]
+    limits: CallerLimits
+    callers: Mapping[str, Caller] = field(default_factory=dict)
+    keyed: bool = False
+    origin: Origin | None = None
+    _by_host: Mapping[str, Sequence[Rule]] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[Rule]] = {}
+        for rule in sorted(self.rules, key=lambda each: -len(each.prefix)):
+            by_host.setdefault(rule.host, []).append(rule)
+        object.__setattr__(self, "_by_host", by_host)
+
+    def find_rule(self, host: str, path: str) -> Rule | None:
+        """Return the host's rule with the longest prefix of ``path``."""
+        rules = self._by_host.get(host.lower().partition(":")[0], ())
+        return next((rule for rule in rules if path.startswith(rule.prefix)), None)
+
+
+def pick_target(targets: Sequence[Target], random: Random) -> ServiceName:
+    """Pick a service in proportion to the weights."""
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [max(0.0, each.weight) for each in targets]
+    if not any(weights):
+        return targets[0].service
+    return random.choices(targets, weights)[0].service
--- /dev/null
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/__init__.py
@@ -0,0 +1,31 @@
+"""Weights by a swarm of agents, each of which orders only its own engine."""
+
+from wrenloft_swarm._holdings import Holding, Holdings, VersionName
+from wrenloft_swarm._ports import (
+    Engine,
+    EngineState,
+    Neighbour,
+    OrderResult,
+    WeightsOrigin,
+)
+from wrenloft_swarm._server import LatestState, SwarmRoutes
+from wrenloft_swarm._settings import AgentSettings
+from wrenloft_swarm._transfer import SwarmTransfer
+from wrenloft_swarm._upkeep import Means, Upkeep
+
+__all__ = [
+    "AgentSettings",
+    "Engine",
+    "EngineState",
+    "Holding",
+    "Holdings",
+    "LatestState",
+    "Means",
+    "Neighbour",
+    "OrderResult",
+    "SwarmRoutes",
+    "SwarmTransfer",
+    "Upkeep",
+    "VersionName",
+    "WeightsOrigin",
+]
--- /dev/null
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -0,0 +1,74 @@
+"""What the upkeep of an engine needs of the engine, the origin and the list of hosts."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from wrenloft_swarm._holdings import VersionName
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says of itself.
+
+    :param version: version in service, 0 if none.
+    :param loading: whether an order is in progress.
+    :param sequence: orders accepted since its start.
+    """
+
+    running: int
+    waiting: int
+    version: int
+    loading: bool
+    pace: float
+    memory_share: float
+    sequence: int
+
+
+class OrderResult(Enum):
+    """What an engine answered to an order."""
+
+    ACCEPTED = "accepted"
+    BUSY = "busy"
+    REFUSED = "refused"
+
+
+class Engine(Protocol):
+    """The engine beside this agent. Every method raises ``PlatformUnavailableError``."""
+
+    async def report(self) -> EngineState:
+        """Return its state now."""
+
+    async def list_staged(self, name: VersionName) -> set[int]:
+        """Return the chunks that lie staged, whatever their version."""
+
+    async def read_staged(self, name: VersionName, chunk: int) -> bytes | None:
+        """Return one staged chunk."""
+
+    async def stage(self, name: VersionName, chunk: int, data: bytes) -> None:
+        """Stage one chunk, over whatever lies there."""
+
+    async def order(self, name: VersionName) -> OrderResult:
+        """Order it to load what is staged."""
+
+
+class WeightsOrigin(Protocol):
+    """The origin. Every method raises ``PlatformUnavailableError``."""
+
+    async def fetch_digests(self, name: VersionName) -> tuple[str, ...]:
+        """Return the digest of each chunk."""
+
+    async def fetch_chunk(self, name: VersionName, chunk: int) -> bytes:
+        """Return one chunk, unchecked."""
+
+
+@dataclass(frozen=True, slots=True)
+class Neighbour:
+    """Another host that runs an agent for the same engines.
+
+    :param address: of its agent.
+    :param near: whether it is in the same region.
+    """
+
+    address: str
+    near: bool
--- /dev/null
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -0,0 +1,137 @@
+"""What an agent gives to others: its engine's reports, what it holds, and chunks."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+
+from aiohttp import web
+
+from wrenloft_swarm._holdings import Holding, Holdings, VersionName
+from wrenloft_swarm._ports import EngineState
+from wrenloft_core import ModelName, read_clock
+
+REPORT_SECONDS = 0.1
+"""Least time between two reports to an entry node; an engine ends a pass about as often."""
+
+REPORT_IDLE_SECONDS = 0.4
+"""Longest time between two, so that silence for a second shows a dead connection."""
+
+POSSESSION_SECONDS = 0.1
+"""Least time between two messages of what is held; about two chunks arrive meanwhile."""
+
+UPLOADS = 8
+"""Chunks sent at once: the link carries one in 54 ms, and each of a dozen neighbours may ask."""
+
+
+class LatestState:
+    """The engine's last report, and a signal when there is a newer one."""
+
+    def __init__(self) -> None:
+        self.state: EngineState | None = None
+        self.at = 0.0
+        self.changed = asyncio.Event()
+
+    def set(self, state: EngineState | None) -> None:
+        """Take a report, or none if the engine did not answer."""
+        differs = state != self.state
+        self.state = state
+        self.at = read_clock()
+        if differs:
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+
+class SwarmRoutes:
+    """Routes for entry nodes and for other agents."""
+
+    def __init__(
+        self, holdings: Holdings, latest: LatestState, is_stopping: Callable[[], bool]
+    ) -> None:
+        self._holdings = holdings
+        self._latest = latest
+        self._is_stopping = is_stopping
+        self._uploads = 0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.get("/reports", self._stream_reports),
+            web.get("/held/{model}/{version}", self._stream_held),
+            web.get("/digests/{model}/{version}", self._send_digests),
+            web.get("/chunks/{model}/{version}/{chunk}", self._send_chunk),
+        ]
+
+    async def _stream_reports(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while not self._is_stopping():
+            changed = self._latest.changed
+            if (state := self._latest.state) is not None:
+                fields = asdict(state)
+                del fields["sequence"]
+                await response.write(json.dumps(fields).encode() + b"\n")
+            await asyncio.sleep(REPORT_SECONDS)
+            await _wait(changed, REPORT_IDLE_SECONDS - REPORT_SECONDS)
+        return response
+
+    async def _stream_held(self, request: web.Request) -> web.StreamResponse:
+        name = _read_name(request)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        told = -1
+        while not self._is_stopping():
+            holding = self._holdings.get(name)
+            mask = holding.mask if holding is not None else 0
+            if mask != told:
+                told = mask
+                await response.write(f"{mask:x}\n".encode())
+            await asyncio.sleep(POSSESSION_SECONDS)
+            if holding is not None and holding.mask == told:
+                await _wait(holding.changed, REPORT_IDLE_SECONDS)
+        return response
+
+    async def _send_digests(self, request: web.Request) -> web.Response:
+        holding = self._find(request)
+        return web.json_response({"digests": holding.digests})
+
+    async def _send_chunk(self, request: web.Request) -> web.Response:
+        holding = self._find(request)
+        data = holding.get(_read_integer(request, "chunk"))
+        if data is None:
+            raise web.HTTPNotFound
+        if self._uploads >= UPLOADS:
+            raise web.HTTPTooManyRequests
+        self._uploads += 1
+        try:
+            response = web.Response(body=data)
+            await response.prepare(request)
+            await response.write_eof()
+            return response
+        finally:
+            self._uploads -= 1
+
+    def _find(self, request: web.Request) -> Holding:
+        holding = self._holdings.get(_read_name(request))
+        if holding is None:
+            raise web.HTTPNotFound
+        return holding
+
+
+def _read_name(request: web.Request) -> VersionName:
+    return VersionName(ModelName(request.match_info["model"]), _read_integer(request, "version"))
+
+
+def _read_integer(request: web.Request, name: str) -> int:
+    try:
+        return int(request.match_info[name])
+    except ValueError as error:
+        raise web.HTTPBadRequest(text=f"{name} is no number") from error
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        pass
