Fetch what feeds the swarm first, from four feeders; count fetches when chosen

Cause: neighbours kept all fetches busy so the origin's link rested, all fetches of a loop went to the same source, and 14 agents at the origin had connections reset. Ruled out: the links (15 of 18.6 chunks a second arrive).

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -13,7 +13,7 @@
 )
 from wrenloft_policy._engine import EngineProfile, predict_first_event
 from wrenloft_policy._entries import EntryNode, choose_entries
-from wrenloft_policy._fetching import ChunkSource, Pick, choose_fetch, rank_turn
+from wrenloft_policy._fetching import ChunkSource, Pick, choose_fetch, list_feeders, rank_turn
 from wrenloft_policy._ownership import Lease, choose_owner, rank_owners
 from wrenloft_policy._placement import Host, Placed, choose_hosts, matches
 from wrenloft_policy._queue import FairQueue, Ticket, estimate_wait
@@ -70,6 +70,7 @@
     "estimate_load",
     "estimate_wait",
     "grant_permits",
+    "list_feeders",
     "matches",
     "must_insist",
     "pick_backoff",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -1,16 +1,19 @@
 """Which chunk an agent fetches next, and from whom, without an owner who tells it."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
-FAR_PATIENCE = 1.0
-"""Seconds for which a chunk that only other regions hold is left to the one agent of this region
-whose turn it is: each chunk should cross a link between regions once."""
+TURN_SECONDS = 1.5
+"""Time after which a chunk's turn passes to the next agent. An agent whose link is squeezed or
+that froze would otherwise hold up all others with the chunks that only it may fetch."""
 
-ORIGIN_PATIENCE = 1.2
-"""Seconds for which a chunk that nobody holds is left to the one agent whose turn it is at the
-origin: a chunk of 24 KB takes that agent about 0.4 s while all fetch at once."""
+FEEDERS = 4
+"""Agents that fetch from the origin at a time. Its link is twice as wide as a host's, so three fill
+it; with all 14 at once it reset connections, and a first whole chunk took four times as long."""
+
+IDLE_PATIENCE = 1.0
+"""Seconds without any chunk after which turns no longer count: better twice than never."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,9 +39,22 @@
     address: str | None
 
 
-def rank_turn(chunk: int, members: Sequence[str], skip: int = 0) -> str:
-    """Return whose turn a chunk is among members in a common order."""
-    return members[(chunk + skip) % len(members)]
+def rank_turn(chunk: int, members: Sequence[str], age: float) -> str:
+    """Return whose turn a chunk is among members in a common order.
+
+    :param age: seconds since the transfer began.
+    """
+    return members[(chunk + int(age / TURN_SECONDS)) % len(members)]
+
+
+def list_feeders(members: Sequence[str], age: float) -> list[str]:
+    """Return the agents that may fetch from the origin now, spread over the common order.
+
+    Addresses of one region lie together in that order, so the feeders lie in different regions.
+    """
+    count = min(FEEDERS, len(members))
+    skip = int(age / TURN_SECONDS)
+    return [members[(index * len(members) // count + skip) % len(members)] for index in range(count)]
 
 
 def choose_fetch(
@@ -47,48 +63,57 @@
     own_address: str,
     region_members: Sequence[str],
     members: Sequence[str],
-    waited: float,
+    age: float,
+    idle: float,
     origin_free: bool,
     random: Random,
     busy_limit: int,
 ) -> Pick | None:
-    """Choose the next chunk: the rarest that a neighbour in the region holds, then one whose turn
-    to cross a link or leave the origin is this agent's.
+    """Choose the next chunk to fetch.
 
-    Rarest first keeps chunks from piling up at few agents, so that every agent always has
-    something that others need and no link rests.
+    First a chunk that nobody holds and whose turn at the origin is this agent's, then one that
+    only other regions hold and whose turn to cross is this agent's, then the rarest that a
+    neighbour in the region holds. What feeds others goes before what only this agent needs: in
+    the other order neighbours kept all fetches busy, the origin's link rested, and after 5 s a
+    third of the chunks had not left it. Turns keep chunks from leaving the origin, or crossing
+    between regions, more than once.
 
     :param missing: chunks neither held nor being fetched.
     :param region_members: agents of this region that fetch the version, this one included.
     :param members: all agents that fetch the version, in the same order everywhere.
-    :param waited: seconds since the transfer last received a chunk.
+    :param age: seconds since the transfer began.
+    :param idle: seconds since a chunk last came.
     :param origin_free: whether another fetch from the origin may start.
     """
-    counts = {chunk: 0 for chunk in missing}
-    near_held = 0
-    any_held = 0
-    for source in sources:
-        any_held |= source.held
-        if source.near:
-            near_held |= source.held
-        for chunk in missing:
-            if source.held >> chunk & 1:
-                counts[chunk] += 1
-    free_near = [each for each in sources if each.near and each.busy < busy_limit]
-    if found := _pick_from(missing, free_near, counts, random):
-        return found
-    own_turns = [
+    counts = {chunk: sum(each.held >> chunk & 1 for each in sources) for chunk in missing}
+    near_held = _join_masks(each for each in sources if each.near)
+    impatient = idle > IDLE_PATIENCE
+    if origin_free:
+        unheld = [chunk for chunk in missing if not counts[chunk]]
+        feeders = list_feeders(members, age)
+        mine = [chunk for chunk in unheld if feeders[chunk % len(feeders)] == own_address]
+        if mine or (impatient and unheld):
+            return Pick(random.choice(mine or unheld), None)
+    far = [each for each in sources if not each.near and each.busy < busy_limit]
+    crossing = [
         chunk
         for chunk in missing
-        if rank_turn(chunk, region_members) == own_address or waited > FAR_PATIENCE
+        if counts[chunk]
+        and not near_held >> chunk & 1
+        and (impatient or rank_turn(chunk, region_members, age) == own_address)
     ]
-    far = [each for each in sources if not each.near and each.busy < busy_limit]
-    only_far = [chunk for chunk in own_turns if any_held >> chunk & 1 and not near_held >> chunk & 1]
-    if found := _pick_from(only_far, far, counts, random):
-        return found
-    if origin_free:
-        return _pick_origin(missing, any_held, own_address, members, waited, random)
-    return None
+    near = [each for each in sources if each.near and each.busy < busy_limit]
+    found = _pick_from(crossing, far, counts, random) or _pick_from(missing, near, counts, random)
+    if found is None and origin_free and idle > 2 * IDLE_PATIENCE and missing:
+        return Pick(random.choice(missing), None)
+    return found
+
+
+def _join_masks(sources: Iterable[ChunkSource]) -> int:
+    mask = 0
+    for source in sources:
+        mask |= source.held
+    return mask
 
 
 def _pick_from(
@@ -97,9 +122,7 @@
     counts: Mapping[int, int],
     random: Random,
 ) -> Pick | None:
-    reachable = 0
-    for source in sources:
-        reachable |= source.held
+    reachable = _join_masks(sources)
     able = [chunk for chunk in chunks if reachable >> chunk & 1]
     if not able:
         return None
@@ -107,22 +130,3 @@
     holders = [each for each in sources if each.held >> chunk & 1]
     source = min(holders, key=lambda each: (each.busy, random.random()))
     return Pick(chunk, source.address)
-
-
-def _pick_origin(
-    missing: Sequence[int],
-    any_held: int,
-    own_address: str,
-    members: Sequence[str],
-    waited: float,
-    random: Random,
-) -> Pick | None:
-    unheld = [chunk for chunk in missing if not any_held >> chunk & 1]
-    mine = [chunk for chunk in unheld if rank_turn(chunk, members) == own_address]
-    if mine:
-        return Pick(mine[0], None)
-    if waited > ORIGIN_PATIENCE and unheld:
-        return Pick(random.choice(unheld), None)
-    if waited > 2 * ORIGIN_PATIENCE and missing:
-        return Pick(random.choice(missing), None)
-    return None
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
@@ -11,7 +11,9 @@
 from wrenloft_swarm._ports import Neighbour
 from wrenloft_core import PlatformUnavailableError, read_clock
 
-CONNECT_SECONDS = 0.5
+CONNECT_SECONDS = 1.0
+"""Longest wait for a connection; its packets queue behind four chunks, 0.2 s, at either end."""
+
 SILENCE_SECONDS = 3.0
 """Silence of a neighbour's list after which its connection is opened anew."""
 
@@ -19,10 +21,17 @@
 """Longest time for a chunk from a neighbour: it takes 54 ms alone, and 0.5 s beside seven more."""
 
 DIGESTS_SECONDS = 1.0
+BUSY_SECONDS = 0.1
+"""How long a neighbour that sends to enough others is passed over: two chunks leave meanwhile."""
+
 _PENALTY_SECONDS = 0.5
 _PENALTY_LONGEST = 4.0
 
 
+class NeighbourBusyError(PlatformUnavailableError):
+    """The neighbour sends to as many others as it may."""
+
+
 @dataclass(slots=True)
 class Followed:
     """A neighbour, what it holds and how it has behaved."""
@@ -121,6 +130,8 @@
     timeout = ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
     try:
         async with session.get(url, timeout=timeout) as response:
+            if response.status == 429:
+                raise NeighbourBusyError("sends to others", step=step, peer=peer)
             if response.status != 200:
                 reason = f"status {response.status}"
                 raise PlatformUnavailableError(reason, step=step, peer=peer)
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -20,8 +20,9 @@
 POSSESSION_SECONDS = 0.1
 """Least time between two messages of what is held; about two chunks arrive meanwhile."""
 
-UPLOADS = 8
-"""Chunks sent at once: the link carries one in 54 ms, and each of a dozen neighbours may ask."""
+UPLOADS = 4
+"""Chunks sent at once. Each takes 54 ms of the link alone; with eight, reports and new connections
+queued half a second behind them, and connections to this agent timed out."""
 
 
 class LatestState:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -9,7 +9,13 @@
 from prometheus_client import Counter
 
 from wrenloft_swarm._holdings import Holding
-from wrenloft_swarm._neighbours import Followed, Possessions, fetch_chunk
+from wrenloft_swarm._neighbours import (
+    BUSY_SECONDS,
+    Followed,
+    NeighbourBusyError,
+    Possessions,
+    fetch_chunk,
+)
 from wrenloft_swarm._ports import Neighbour, WeightsOrigin
 from wrenloft_core import IntegrityError, PlatformUnavailableError, note, read_clock, warn
 from wrenloft_policy import ChunkSource, Pick, choose_fetch
@@ -23,9 +29,12 @@
 SOURCE_FETCHES = 2
 """Chunks asked of one neighbour at once, so that the load spreads."""
 
-ORIGIN_FETCHES = 1
-"""Chunks asked of the origin at once. Its link serves all agents; a second one would only halve
-the first one's rate, and a whole chunk is what others can use."""
+ORIGIN_FETCHES = 2
+"""Chunks that a feeder asks of the origin at once: two of its five fetches, so that four feeders
+fill the origin's link although neighbours use theirs too."""
+
+PROGRESS_SECONDS = 1.0
+"""Between two log lines on a transfer."""
 
 _IDLE_SECONDS = 0.05
 _ORIGIN_PAUSE = 0.2
@@ -61,15 +70,18 @@
         self._in_flight: set[int] = set()
         self._from_origin = 0
         self._origin_after = 0.0
-        self._received_at = read_clock()
+        self._begun_at = self._received_at = read_clock()
+        self._noted_at = 0.0
+        self._counts = {"near": 0, "far": 0, "origin": 0}
         self.spoilt: dict[int, int] = {}
 
     async def run(self) -> None:
         """Fetch until every chunk is held."""
-        begun = read_clock()
+        begun = self._begun_at
         try:
             async with asyncio.TaskGroup() as group:
                 while not self._holding.whole:
+                    self._note_progress(begun)
                     self._possessions.update(self._neighbours())
                     self._start_fetches(group)
                     await self._rest()
@@ -83,6 +95,29 @@
             ms=round((read_clock() - begun) * 1000),
         )
 
+    def _note_progress(self, begun: float) -> None:
+        now = read_clock()
+        if now - self._noted_at < PROGRESS_SECONDS:
+            return
+        self._noted_at = now
+        note(
+            _LOG,
+            "version on its way",
+            version=self._holding.name.number,
+            ms=round((now - begun) * 1000),
+            held=self._holding.held,
+            in_flight=len(self._in_flight),
+            sources=self._counts,
+            connected=sum(each.connected for each in self._possessions.known.values()),
+            any_held=self._count_any_held(),
+        )
+
+    def _count_any_held(self) -> int:
+        held = self._holding.mask
+        for each in self._possessions.known.values():
+            held |= each.held
+        return held.bit_count()
+
     async def _rest(self) -> None:
         try:
             async with asyncio.timeout(_IDLE_SECONDS):
@@ -94,6 +129,11 @@
     def _start_fetches(self, group: asyncio.TaskGroup) -> None:
         while len(self._in_flight) < FETCHES and (pick := self._choose()):
             self._in_flight.add(pick.chunk)
+            # Counted before the task runs: the next choice of this loop must see it.
+            if pick.address is None:
+                self._from_origin += 1
+            else:
+                self._possessions.known[pick.address].busy += 1
             group.create_task(self._fetch(pick))
 
     def _choose(self) -> Pick | None:
@@ -118,6 +158,7 @@
             self._own,
             near,
             members,
+            now - self._begun_at,
             now - self._received_at,
             self._from_origin < ORIGIN_FETCHES and now >= self._origin_after,
             self._random,
@@ -128,35 +169,36 @@
         return followed.held.bit_count() >= len(self._holding.digests)
 
     async def _fetch(self, pick: Pick) -> None:
+        followed = self._possessions.known.get(pick.address or "")
         try:
             if pick.address is None:
                 await self._fetch_from_origin(pick.chunk)
-            else:
-                await self._fetch_from_neighbour(pick.chunk, pick.address)
+            elif followed is not None:
+                await self._fetch_from_neighbour(pick.chunk, followed)
         finally:
             self._in_flight.discard(pick.chunk)
+            if pick.address is None:
+                self._from_origin -= 1
+            elif followed is not None:
+                followed.busy -= 1
             self._wake.set()
 
-    async def _fetch_from_neighbour(self, chunk: int, address: str) -> None:
-        followed = self._possessions.known.get(address)
-        if followed is None:
-            return
-        followed.busy += 1
+    async def _fetch_from_neighbour(self, chunk: int, followed: Followed) -> None:
+        address = followed.neighbour.address
         try:
             data = await fetch_chunk(self._session, address, self._holding.name, chunk)
-            self._keep(chunk, data, "agent", address)
+            self._keep(chunk, data, "near" if followed.neighbour.near else "far", address)
             followed.failures = 0
         except IntegrityError as error:
             self._note_spoilt(chunk, "agent", error)
             followed.record_failure()
+        except NeighbourBusyError:
+            followed.avoided_until = read_clock() + BUSY_SECONDS
         except PlatformUnavailableError as error:
             note(_LOG, "chunk not had", chunk=chunk, reason=str(error))
             followed.record_failure()
-        finally:
-            followed.busy -= 1
 
     async def _fetch_from_origin(self, chunk: int) -> None:
-        self._from_origin += 1
         try:
             data = await self._origin.fetch_chunk(self._holding.name, chunk)
             self._keep(chunk, data, "origin", "origin")
@@ -165,12 +207,11 @@
         except PlatformUnavailableError as error:
             note(_LOG, "chunk not had", chunk=chunk, reason=str(error))
             self._origin_after = read_clock() + self._random.uniform(0.5, 1.5) * _ORIGIN_PAUSE
-        finally:
-            self._from_origin -= 1
 
     def _keep(self, chunk: int, data: bytes, source: str, peer: str) -> None:
         self._holding.add(chunk, data, peer)
         self._received_at = read_clock()
+        self._counts[source] += 1
         FETCHED.labels(source).inc(len(data))
 
     def _note_spoilt(self, chunk: int, source: str, error: IntegrityError) -> None:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -21,7 +21,7 @@
 from wrenloft_swarm._server import LatestState
 from wrenloft_swarm._transfer import SwarmTransfer
 from wrenloft_core import ModelName, PlatformUnavailableError, note, read_clock, warn
-from wrenloft_policy import WantedVersion, choose_version
+from wrenloft_policy import WantedVersion, choose_version, list_feeders
 
 T = TypeVar("T")
 
@@ -33,6 +33,11 @@
 ORDER_RETRY_SECONDS = 0.1
 """Pause after an order that met a busy engine; it ends a pass about as often."""
 
+NEIGHBOUR_TRIES = 4
+NEIGHBOURS_ASKED = 3
+"""Rounds and neighbours a round before the origin is asked for a list of digests: 0.4 s, in which
+a feeder has had it even through a slow link."""
+
 SPOILT_LIMIT = 3
 """Times a chunk may come spoilt before its digest is doubted: the list may be what is wrong."""
 
@@ -167,19 +172,42 @@
         return self._means.holdings.open(name, digests)
 
     async def _find_digests(self, name: VersionName) -> tuple[str, ...]:
-        """Ask the origin for the list of digests; it names what is right, neighbours repeat it."""
+        """Ask the origin for the list of digests if this agent is a feeder, else neighbours.
+
+        Asked by every agent at once, the origin resets connections, and the list takes as much
+        of its link as several chunks.
+        """
+        if not self._is_feeder():
+            for _ in range(NEIGHBOUR_TRIES):
+                if (digests := await self._ask_neighbours(name)) is not None:
+                    return digests
+                await asyncio.sleep(REPORT_SECONDS)
         try:
             return await self._means.origin.fetch_digests(name)
         except PlatformUnavailableError as error:
             note(_LOG, "digests not had from the origin", reason=str(error))
-        neighbours = self._means.neighbours()
-        self._means.random.shuffle(neighbours)
-        for neighbour in neighbours:
+        if (digests := await self._ask_neighbours(name)) is not None:
+            return digests
+        raise PlatformUnavailableError("nobody has the digests", step="find-digests")
+
+    def _is_feeder(self) -> bool:
+        own = self._means.own_address
+        members = sorted([own, *(each.address for each in self._means.neighbours())])
+        return own in list_feeders(members, 0.0)
+
+    async def _ask_neighbours(self, name: VersionName) -> tuple[str, ...] | None:
+        """Ask a few neighbours, feeders first, for a version's digests."""
+        addresses = [each.address for each in self._means.neighbours()]
+        own = self._means.own_address
+        feeders = set(list_feeders(sorted([own, *addresses]), 0.0))
+        self._means.random.shuffle(addresses)
+        addresses.sort(key=lambda each: each not in feeders)
+        for address in addresses[:NEIGHBOURS_ASKED]:
             try:
-                return await fetch_digests(self._means.session, neighbour.address, name)
+                return await fetch_digests(self._means.session, address, name)
             except PlatformUnavailableError:
-                continue  # the next may have them
-        raise PlatformUnavailableError("nobody has the digests", step="find-digests")
+                continue  # the next may have them, and the caller says so if none has
+        return None
 
     async def _bring(self, name: VersionName) -> None:
         """Fetch a version whole, stage it and order the engine to load it."""
