Pace chunks at 0.8 of the link; one reader of the store in each zone

Cause: chunks and the engines' streams leave by the same link. At full rate events queued behind chunks and over half of all streams were late while weights moved; watches of whole configurations by every node filled the links between regions in a storm of changes. Ruled out: too few engines (13 of them carried the same load before the push).

--- a/packages/wrenloft-agent/src/wrenloft_agent/_agent.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_agent.py
@@ -13,7 +13,7 @@
 from prometheus_client import generate_latest
 
 from wrenloft_agent._models import Models
-from wrenloft_agent._pacing import Pacer
+from wrenloft_core import Pacer
 from wrenloft_agent._runs import Runs
 from wrenloft_agent._sessions import open_session
 from wrenloft_agent._settings import AgentSettings, RunnerKind
--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from prometheus_client import Counter
 
-from wrenloft_agent._pacing import Pacer
+from wrenloft_core import Pacer
 from wrenloft_agent._runs import Run, Runs, RunState
 from wrenloft_agent.nodes._attach import Rules
 from wrenloft_agent.runner import Gate, GateFullError, RunnerCalls, build_runner_headers
--- a/packages/wrenloft-agent/src/wrenloft_agent/origin/_client.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/origin/_client.py
@@ -2,7 +2,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from wrenloft_agent._pacing import Pacer
+from wrenloft_core import Pacer
 from wrenloft_core import Manifest, PlatformUnavailableError, VersionDigest
 
 _PIECE = 65536
--- a/packages/wrenloft-agent/src/wrenloft_agent/peers/_client.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/peers/_client.py
@@ -8,7 +8,7 @@
 import grpc
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from wrenloft_agent._pacing import Pacer
+from wrenloft_core import Pacer
 from wrenloft_core import (
     AgentId,
     ChunkDigest,
--- a/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from wrenloft_agent._pacing import Pacer
+from wrenloft_core import Pacer
 from wrenloft_agent._store import ChunkStore
 from wrenloft_core import ChunkDigest, VersionDigest
 from wrenloft_messages import messages
--- a/packages/wrenloft-agent/tests/test_transfer.py
+++ b/packages/wrenloft-agent/tests/test_transfer.py
@@ -7,7 +7,7 @@
 
 import pytest
 from aiohttp import ClientSession
-from wrenloft_agent._pacing import Pacer
+from wrenloft_core import Pacer
 from wrenloft_agent._store import ChunkStore
 from wrenloft_agent._transfer import Transfer, TransferMeans
 from wrenloft_agent.origin import OriginClient
--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -47,6 +47,7 @@
 )
 from wrenloft_core._logs import BoundedHandler, decide, note, set_up_logs, warn
 from wrenloft_core._outcomes import Done, NotRun, Outcome, Priority, Unknown
+from wrenloft_core._pacing import Pacer
 from wrenloft_core._secrets import hash_key, matches_digest, matches_secret
 from wrenloft_core._settings import read_settings, structure_settings
 
@@ -72,6 +73,7 @@
     "Organisation",
     "OrganisationName",
     "Outcome",
+    "Pacer",
     "PlaceName",
     "PlatformUnavailableError",
     "Priority",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
@@ -5,16 +5,16 @@
 LINK_SHARE = 0.85
 """Part of a link's rate that chunks reach; the rest are heads, acknowledgements and requests."""
 
-ENFORCE_SHARE = 0.86
-"""Part of the allowed time after which requests insist on the new version. The rest covers the
-time from the acknowledgement until this node heard of it."""
+BEGIN_SECONDS = 0.8
+"""Time that a request may take from this node until it begins at an endpoint: it is sent only if
+its first event is predicted within half a second."""
 
 
 @dataclass(frozen=True, slots=True)
 class WantedVersion:
     """A version that operators named.
 
-    :param seen_at: when this process heard of it, in seconds of its own clock.
+    :param seen_at: a time at which it was not yet named, in seconds of this process's clock.
     """
 
     number: int
@@ -48,4 +48,4 @@
 
 def must_insist(wanted: WantedVersion, allowed: float, now: float) -> bool:
     """Tell whether requests may begin on this version only."""
-    return now >= wanted.seen_at + allowed * ENFORCE_SHARE
+    return now >= wanted.seen_at + allowed - BEGIN_SECONDS
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -26,6 +26,7 @@
     ping_forever,
 )
 from wrenloft_routing._proof import CurrencyProof
+from wrenloft_routing._readings import Item, Reading, ReadingRoutes, SharedReading, Taken
 from wrenloft_routing._settings import Bounds, EntrySettings
 from wrenloft_routing._streams import Pump, StreamEnd, pump_stream
 from wrenloft_routing._table import (
@@ -62,6 +63,7 @@
     "Forwarder",
     "Gate",
     "Headers",
+    "Item",
     "Lost",
     "Member",
     "Members",
@@ -71,6 +73,8 @@
     "PingRoutes",
     "Placed",
     "Pump",
+    "Reading",
+    "ReadingRoutes",
     "Refused",
     "Rejected",
     "Reply",
@@ -80,7 +84,9 @@
     "Rule",
     "RuleKind",
     "SharedBudget",
+    "SharedReading",
     "StreamEnd",
+    "Taken",
     "Target",
     "pick_target",
     "ping_forever",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_members.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_members.py
@@ -92,6 +92,22 @@
     def _is_named(member: Member) -> bool:
         return member.ready and member.missed < MISSED_PINGS
 
+    def pick_reader(self) -> Member | None:
+        """Return the node that reads the store for this zone, ``None`` if that is this node."""
+        near = [each for each in self.others(near=True) if each.missed < MISSED_PINGS]
+        first = min([self.own, *near], key=lambda each: each.node_id)
+        return None if first is self.own else first
+
+    def pick_other(self) -> Member | None:
+        """Return any node that answers, nearest first and heard of last."""
+        heard = [
+            each
+            for near in (True, False)
+            for each in self.others(near=near)
+            if each.missed == 0 and each.heard_at
+        ]
+        return heard[int(read_clock() * 7) % min(len(heard), 3)] if heard else None
+
     def choose(self, place: PlaceName, region: RegionName) -> list[str]:
         """Return the addresses for a caller: the nearest that are enough, else all there are.
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/__init__.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/__init__.py
@@ -8,12 +8,13 @@
     OrderResult,
     WeightsOrigin,
 )
-from wrenloft_swarm._server import LatestState, SwarmRoutes
+from wrenloft_swarm._server import UPLOAD_SHARE, LatestState, SwarmRoutes
 from wrenloft_swarm._settings import AgentSettings
 from wrenloft_swarm._transfer import SwarmTransfer
 from wrenloft_swarm._upkeep import Means, Upkeep
 
 __all__ = [
+    "UPLOAD_SHARE",
     "AgentSettings",
     "Engine",
     "EngineState",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -9,7 +9,7 @@
 
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
 from wrenloft_swarm._ports import EngineState
-from wrenloft_core import ModelName, read_clock
+from wrenloft_core import ModelName, Pacer, read_clock
 
 REPORT_SECONDS = 0.1
 """Least time between two reports to an entry node; an engine ends a pass about as often."""
@@ -25,6 +25,15 @@
 queued half a second behind them, and connections to this agent timed out."""
 
 
+UPLOAD_SHARE = 0.8
+"""Part of the link that chunks sent to others may use. The engine's streams leave by the same
+link: at full rate they queued behind chunks, and over half of them came later than their caller's
+bound on the way from the engine."""
+
+_PIECE_BYTES = 8192
+"""Bytes written at a time; they take 18 ms of the link, which an event may have to wait."""
+
+
 class LatestState:
     """The engine's last report, and a signal when there is a newer one."""
 
@@ -44,11 +53,22 @@
 
 
 class SwarmRoutes:
-    """Routes for entry nodes and for other agents."""
+    """Routes for entry nodes and for other agents.
+
+    :param pacer: for all chunks sent from here.
+    :param on_version: called with each model and version that others ask for.
+    """
 
     def __init__(
-        self, holdings: Holdings, latest: LatestState, is_stopping: Callable[[], bool]
+        self,
+        holdings: Holdings,
+        latest: LatestState,
+        is_stopping: Callable[[], bool],
+        on_version: Callable[[str, int], None],
+        pacer: Pacer,
     ) -> None:
+        self._pacer = pacer
+        self._on_version = on_version
         self._holdings = holdings
         self._latest = latest
         self._is_stopping = is_stopping
@@ -78,6 +98,8 @@
 
     async def _stream_held(self, request: web.Request) -> web.StreamResponse:
         name = _read_name(request)
+        # Whoever asks for a version has heard of it from the store, perhaps before this agent.
+        self._on_version(name.model, name.number)
         response = web.StreamResponse()
         await response.prepare(request)
         told = -1
@@ -96,7 +118,7 @@
         holding = self._find(request)
         return web.json_response({"digests": holding.digests})
 
-    async def _send_chunk(self, request: web.Request) -> web.Response:
+    async def _send_chunk(self, request: web.Request) -> web.StreamResponse:
         holding = self._find(request)
         data = holding.get(_read_integer(request, "chunk"))
         if data is None:
@@ -105,13 +127,21 @@
             raise web.HTTPTooManyRequests
         self._uploads += 1
         try:
-            response = web.Response(body=data)
-            await response.prepare(request)
-            await response.write_eof()
-            return response
+            return await self._send_paced(request, data)
         finally:
             self._uploads -= 1
 
+    async def _send_paced(self, request: web.Request, data: bytes) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_length = len(data)
+        await response.prepare(request)
+        for at in range(0, len(data), _PIECE_BYTES):
+            piece = data[at : at + _PIECE_BYTES]
+            await self._pacer.carry(len(piece))
+            await response.write(piece)
+        await response.write_eof()
+        return response
+
     def _find(self, request: web.Request) -> Holding:
         holding = self._holdings.get(_read_name(request))
         if holding is None:
