--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -37,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """The endpoint that was chosen, and what the choice was made from."""
+    """The endpoint that was chosen, and what the choice was made from.
+
+    :param version: the only version on which the request may begin there, ``None`` for any. The
+        endpoint checks it: what this node knows of its version may be old.
+    """
 
     state: EndpointState
     predicted: float
@@ -65,19 +69,33 @@
         self._version_seconds = version_seconds
         self._waiting: dict[ServiceName, list[Ask]] = {}
         self._work: dict[ServiceName, float] = {}
-        self.wanted: dict[str, WantedVersion] = {}
+        self._wanted: dict[str, list[WantedVersion]] = {}
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
         """Take the time that a plain service needed for an answer."""
         mean = self._work.get(service, WORK_SECONDS)
         self._work[service] = mean + _WORK_WEIGHT * (seconds - mean)
 
-    def required_version(self, service: BackendService, now: float) -> int | None:
-        """Return the version on which requests must begin now, if any."""
-        wanted = self.wanted.get(service.model or "")
-        if wanted is None or not must_insist(wanted, self._version_seconds, now):
-            return None
-        return wanted.number
+    def name_version(self, model: str, wanted: WantedVersion) -> bool:
+        """Take a version that operators named; return whether it is newer than all known.
+
+        Each has its own deadline: a third version named before the second is in service does
+        not put off the second's.
+        """
+        known = self._wanted.setdefault(model, [])
+        if known and known[-1].number >= wanted.number:
+            return False
+        known.append(wanted)
+        return True
+
+    def required_version(self, service: BackendService, now: float) -> int:
+        """Return the oldest version on which requests may begin now, 0 for any."""
+        due = [
+            each.number
+            for each in self._wanted.get(service.model or "", ())
+            if must_insist(each, self._version_seconds, now)
+        ]
+        return max(due, default=0)
 
     async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
         """Return an endpoint with room, waiting a moment for one if it must."""
@@ -112,7 +130,8 @@
         if verdict is Verdict.SEND and choice is not None:
             state = next(each for each in able if each.endpoint.agent_id == choice.key)
             required = self.required_version(ask.service, now)
-            return Placed(state, choice.predicted, len(able), required)
+            version = state.version_of(ask.service.model) if required else None
+            return Placed(state, choice.predicted, len(able), version)
         if verdict is Verdict.REFUSE:
             known = len(self._endpoints.of_service(ask.service.name))
             if choice is None:
@@ -123,7 +142,7 @@
     def _list_able(
         self, service: BackendService, tried: Collection[AgentId], now: float
     ) -> list[EndpointState]:
-        required = self.required_version(service, now) or 0
+        required = self.required_version(service, now)
         return [
             each
             for each in self._endpoints.of_service(service.name)
