--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/ruff check -q .
 
 types: $(READY)
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform/wrenloft_platform
 
 unit: $(READY)
 	$(BIN)/python -m pytest -n 4
--- a/packages/wrenloft-agent/src/wrenloft_agent/_agent.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_agent.py
@@ -13,7 +13,6 @@
 from prometheus_client import generate_latest
 
 from wrenloft_agent._models import Models
-from wrenloft_core import Pacer
 from wrenloft_agent._runs import Runs
 from wrenloft_agent._sessions import open_session
 from wrenloft_agent._settings import AgentSettings, RunnerKind
@@ -27,6 +26,7 @@
     AgentId,
     Header,
     ModelName,
+    Pacer,
     PlaceName,
     RegionName,
     VersionDigest,
--- a/packages/wrenloft-agent/src/wrenloft_agent/_transfer.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_transfer.py
@@ -9,7 +9,6 @@
 from aiohttp import ClientSession
 from prometheus_client import Counter
 
-from wrenloft_core import Pacer
 from wrenloft_agent._store import ChunkStore
 from wrenloft_agent.origin import OriginClient
 from wrenloft_agent.peers import (
@@ -22,6 +21,7 @@
     AgentId,
     IntegrityError,
     Manifest,
+    Pacer,
     PlatformUnavailableError,
     VersionDigest,
     WrenloftError,
--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
@@ -8,11 +8,10 @@
 from aiohttp import web
 from prometheus_client import Counter
 
-from wrenloft_core import Pacer
 from wrenloft_agent._runs import Run, Runs, RunState
 from wrenloft_agent.nodes._attach import Rules
 from wrenloft_agent.runner import Gate, GateFullError, RunnerCalls, build_runner_headers
-from wrenloft_core import AgentId, Header, ModelName, Priority, RequestId
+from wrenloft_core import AgentId, Header, ModelName, Pacer, Priority, RequestId
 
 _LOG = logging.getLogger(__name__)
 
--- a/packages/wrenloft-agent/src/wrenloft_agent/origin/_client.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/origin/_client.py
@@ -2,8 +2,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from wrenloft_core import Pacer
-from wrenloft_core import Manifest, PlatformUnavailableError, VersionDigest
+from wrenloft_core import Manifest, Pacer, PlatformUnavailableError, VersionDigest
 
 _PIECE = 65536
 
--- a/packages/wrenloft-agent/src/wrenloft_agent/peers/_client.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/peers/_client.py
@@ -8,12 +8,12 @@
 import grpc
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from wrenloft_core import Pacer
 from wrenloft_core import (
     AgentId,
     ChunkDigest,
     Header,
     Manifest,
+    Pacer,
     PlatformUnavailableError,
     VersionDigest,
 )
--- a/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/peers/_server.py
@@ -5,9 +5,8 @@
 
 from aiohttp import web
 
-from wrenloft_core import Pacer
 from wrenloft_agent._store import ChunkStore
-from wrenloft_core import ChunkDigest, VersionDigest
+from wrenloft_core import ChunkDigest, Pacer, VersionDigest
 from wrenloft_messages import messages
 
 _PIECE = 65536
--- a/packages/wrenloft-agent/tests/test_models.py
+++ b/packages/wrenloft-agent/tests/test_models.py
@@ -8,7 +8,6 @@
 import pytest
 from aiohttp import ClientSession
 from wrenloft_agent._models import Models, Target
-from wrenloft_core import Pacer
 from wrenloft_agent._store import ChunkStore
 from wrenloft_agent._transfer import TransferMeans
 from wrenloft_agent.origin import OriginClient
@@ -17,6 +16,7 @@
 from wrenloft_core import (
     Manifest,
     ModelName,
+    Pacer,
     Revision,
     ShardNumber,
     VersionDigest,
--- a/packages/wrenloft-agent/tests/test_transfer.py
+++ b/packages/wrenloft-agent/tests/test_transfer.py
@@ -7,12 +7,11 @@
 
 import pytest
 from aiohttp import ClientSession
-from wrenloft_core import Pacer
 from wrenloft_agent._store import ChunkStore
 from wrenloft_agent._transfer import Transfer, TransferMeans
 from wrenloft_agent.origin import OriginClient
 
-from wrenloft_core import Manifest, build_manifest, digest_bytes
+from wrenloft_core import Manifest, Pacer, build_manifest, digest_bytes
 from wrenloft_policy import Permit
 from wrenloft_standins import Origin, OriginFaults, serve
 
--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -1,7 +1,7 @@
 """Ids, outcomes, configuration and manifests shared by wrenloft's programs."""
 
-from wrenloft_core._clock import read_clock
 from wrenloft_core._chunks import Manifest, build_manifest, digest_bytes
+from wrenloft_core._clock import read_clock
 from wrenloft_core._configuration import (
     Configuration,
     Fleet,
--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -54,7 +54,9 @@
     """
     count = min(FEEDERS, len(members))
     skip = int(age / TURN_SECONDS)
-    return [members[(index * len(members) // count + skip) % len(members)] for index in range(count)]
+    return [
+        members[(index * len(members) // count + skip) % len(members)] for index in range(count)
+    ]
 
 
 def choose_fetch(
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -182,9 +182,7 @@
         )
         return await self._gate.place(ask, course.tried)
 
-    async def _attempt(
-        self, course: _Course, placed: Placed, sink: AnswerSink
-    ) -> Outcome | None:
+    async def _attempt(self, course: _Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
         """Send once; ``None`` means that another attempt may follow."""
         state = placed.state
         state.own += 1
@@ -304,13 +302,13 @@
         try:
             if not reply.genuine:
                 return self._drop_reply(course, state, "answer is not this request's")
-            if reply.status >= 500 and self._may_repeat(course, course.attempts):
-                if self._budget.spend(course.service.name, now):
-                    ATTEMPTS.labels("failed").inc()
-                    course.tried.add(state.endpoint.agent_id)
-                    course.may_have_run = True
-                    await self._drain(reply)
-                    return None
+            failed = reply.status >= 500 and self._may_repeat(course, course.attempts)
+            if failed and self._budget.spend(course.service.name, now):
+                ATTEMPTS.labels("failed").inc()
+                course.tried.add(state.endpoint.agent_id)
+                course.may_have_run = True
+                await self._drain(reply)
+                return None
             if reply.is_stream and reply.status < 300:
                 return await self._relay_stream(course, state, reply, sink)
             return await self._relay_whole(course, state, reply, sink, started)
@@ -326,9 +324,7 @@
         except (ReplyBrokenError, TimeoutError):
             return
 
-    def _drop_reply(
-        self, course: _Course, state: EndpointState, reason: str
-    ) -> Outcome | None:
+    def _drop_reply(self, course: _Course, state: EndpointState, reason: str) -> Outcome | None:
         ATTEMPTS.labels("broken").inc()
         note(
             _LOG,
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -116,9 +116,7 @@
         able = self._list_able(ask.service, tried, now)
         loads = [self._endpoints.measure(each, now) for each in able]
         work = self._work.get(ask.service.name, WORK_SECONDS)
-        choice = choose_endpoint(
-            loads, ask.service.engine, ask.prompt_tokens, work, self._random
-        )
+        choice = choose_endpoint(loads, ask.service.engine, ask.prompt_tokens, work, self._random)
         urgent = any(each.rank < ask.rank for each in self._waiting[ask.service.name])
         verdict = decide_turn(
             None if choice is None or urgent else choice.predicted,
--- a/packages/wrenloft-routing/src/wrenloft_routing/_members.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_members.py
@@ -50,11 +50,12 @@
         """
         seen = {each.node_id: each for each in listed}
         for node_id, member in seen.items():
+            if node_id == self.own.node_id:
+                continue
             known = self._members.get(node_id)
             if known is None or (known.front, known.internal) != (member.front, member.internal):
-                if node_id != self.own.node_id:
-                    self._members[node_id] = member
-                    note(_LOG, "entry node listed", node=node_id, address=member.front)
+                self._members[node_id] = member
+                note(_LOG, "entry node listed", node=node_id, address=member.front)
         for node_id, member in list(self._members.items()):
             if node_id not in seen and member is not self.own and member.missed >= MISSED_PINGS:
                 del self._members[node_id]
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
@@ -7,9 +7,9 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from wrenloft_core import PlatformUnavailableError, read_clock
 from wrenloft_swarm._holdings import VersionName
 from wrenloft_swarm._ports import Neighbour
-from wrenloft_core import PlatformUnavailableError, read_clock
 
 CONNECT_SECONDS = 1.0
 """Longest wait for a connection; its packets queue behind four chunks, 0.2 s, at either end."""
@@ -82,9 +82,7 @@
 
     async def _follow(self, followed: Followed) -> None:
         url = f"http://{followed.neighbour.address}/held/{self._name.model}/{self._name.number}"
-        timeout = ClientTimeout(
-            total=None, sock_connect=CONNECT_SECONDS, sock_read=SILENCE_SECONDS
-        )
+        timeout = ClientTimeout(total=None, sock_connect=CONNECT_SECONDS, sock_read=SILENCE_SECONDS)
         while True:
             try:
                 async with self._session.get(url, timeout=timeout) as response:
@@ -98,9 +96,7 @@
             await asyncio.sleep(CONNECT_SECONDS)
 
 
-async def fetch_chunk(
-    session: ClientSession, address: str, name: VersionName, chunk: int
-) -> bytes:
+async def fetch_chunk(session: ClientSession, address: str, name: VersionName, chunk: int) -> bytes:
     """Fetch one chunk from a neighbour, unchecked.
 
     :raises PlatformUnavailableError: if it does not come whole and in time.
@@ -109,9 +105,7 @@
     return await _read(session, url, CHUNK_SECONDS, "fetch-from-neighbour", address)
 
 
-async def fetch_digests(
-    session: ClientSession, address: str, name: VersionName
-) -> tuple[str, ...]:
+async def fetch_digests(session: ClientSession, address: str, name: VersionName) -> tuple[str, ...]:
     """Fetch the digests of a version from a neighbour.
 
     :raises PlatformUnavailableError: if it does not have them.
@@ -124,9 +118,7 @@
         raise PlatformUnavailableError(str(error), step="fetch-digests", peer=address) from error
 
 
-async def _read(
-    session: ClientSession, url: str, seconds: float, step: str, peer: str
-) -> bytes:
+async def _read(session: ClientSession, url: str, seconds: float, step: str, peer: str) -> bytes:
     timeout = ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
     try:
         async with session.get(url, timeout=timeout) as response:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -7,9 +7,9 @@
 
 from aiohttp import web
 
+from wrenloft_core import ModelName, Pacer, read_clock
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
 from wrenloft_swarm._ports import EngineState
-from wrenloft_core import ModelName, Pacer, read_clock
 
 REPORT_SECONDS = 0.1
 """Least time between two reports to an entry node; an engine ends a pass about as often."""
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -8,6 +8,8 @@
 from aiohttp import ClientSession
 from prometheus_client import Counter
 
+from wrenloft_core import IntegrityError, PlatformUnavailableError, note, read_clock, warn
+from wrenloft_policy import ChunkSource, Pick, choose_fetch
 from wrenloft_swarm._holdings import Holding
 from wrenloft_swarm._neighbours import (
     BUSY_SECONDS,
@@ -17,8 +19,6 @@
     fetch_chunk,
 )
 from wrenloft_swarm._ports import Neighbour, WeightsOrigin
-from wrenloft_core import IntegrityError, PlatformUnavailableError, note, read_clock, warn
-from wrenloft_policy import ChunkSource, Pick, choose_fetch
 
 _LOG = logging.getLogger(__name__)
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -9,6 +9,8 @@
 
 from aiohttp import ClientSession
 
+from wrenloft_core import ModelName, PlatformUnavailableError, note, read_clock, warn
+from wrenloft_policy import WantedVersion, choose_version, list_feeders
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
 from wrenloft_swarm._neighbours import fetch_digests
 from wrenloft_swarm._ports import (
@@ -20,8 +22,6 @@
 )
 from wrenloft_swarm._server import LatestState
 from wrenloft_swarm._transfer import SwarmTransfer
-from wrenloft_core import ModelName, PlatformUnavailableError, note, read_clock, warn
-from wrenloft_policy import WantedVersion, choose_version, list_feeders
 
 T = TypeVar("T")
 
