Choose alike between two versions; serve half of the agents first; feeders at the origin

Cause: agents that chose by their own progress split the swarm, and for four seconds only 4 of 14 engines had a permitted version. Now the gap between the two namings alone decides. Refused callers are asked to come back late while no endpoint can take them. Ruled out as the bound: the uploads' pace and the origin.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -33,6 +33,11 @@
 does not return as one; a slot becomes free about every 0.13 s at each full engine."""
 
 
+OUTAGE_RETURN_SHARE = 0.8
+"""Least part of the time that callers wait at most, for those refused while no endpoint can take
+a request. The rest spreads their return."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointLoad:
     """What an entry node knows of one endpoint.
@@ -137,10 +142,17 @@
     return Verdict.REFUSE
 
 
-def pick_return(left: float, random: Random) -> float:
+def pick_return(left: float, candidates: int, random: Random) -> float:
     """Return the seconds after which a refused caller should come back.
 
-    Callers wait at most a third of the time that they have left.
+    Callers wait at most a third of the time that they have left, and ask a limited number of
+    times. With no endpoint able to take the request, an early return would only be refused
+    again, so they are asked to use all of that third.
+
+    :param candidates: endpoints that could take such a request, if they had room.
     """
+    longest = left / 3
+    if not candidates:
+        return max(0.05, random.uniform(OUTAGE_RETURN_SHARE, 1.0) * longest)
     low, high = RETURN_SPREAD
-    return max(0.05, min(random.uniform(low, high), left / 3))
+    return max(0.05, min(random.uniform(low, high), longest))
--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -50,7 +50,8 @@
 def list_feeders(members: Sequence[str], age: float) -> list[str]:
     """Return the agents that may fetch from the origin now, spread over the common order.
 
-    Addresses of one region lie together in that order, so the feeders lie in different regions.
+    :param members: agents that could, best those of the origin's region: a chunk that enters
+        another region first crosses to the origin's region a second time.
     """
     count = min(FEEDERS, len(members))
     skip = int(age / TURN_SECONDS)
@@ -64,7 +65,7 @@
     sources: Sequence[ChunkSource],
     own_address: str,
     region_members: Sequence[str],
-    members: Sequence[str],
+    origin_members: Sequence[str],
     age: float,
     idle: float,
     origin_free: bool,
@@ -82,7 +83,7 @@
 
     :param missing: chunks neither held nor being fetched.
     :param region_members: agents of this region that fetch the version, this one included.
-    :param members: all agents that fetch the version, in the same order everywhere.
+    :param origin_members: agents among which the origin's turns go, in the same order everywhere.
     :param age: seconds since the transfer began.
     :param idle: seconds since a chunk last came.
     :param origin_free: whether another fetch from the origin may start.
@@ -92,7 +93,7 @@
     impatient = idle > IDLE_PATIENCE
     if origin_free:
         unheld = [chunk for chunk in missing if not counts[chunk]]
-        feeders = list_feeders(members, age)
+        feeders = list_feeders(origin_members, age)
         mine = [chunk for chunk in unheld if feeders[chunk % len(feeders)] == own_address]
         if mine or (impatient and unheld):
             return Pick(random.choice(mine or unheld), None)
--- a/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
@@ -2,8 +2,14 @@
 
 from dataclasses import dataclass
 
-LINK_SHARE = 0.85
-"""Part of a link's rate that chunks reach; the rest are heads, acknowledgements and requests."""
+LINK_SHARE = 0.8
+"""Part of a link's rate that chunks reach: what agents send is paced at that."""
+
+START_SECONDS = 0.8
+"""From naming a version until chunks come at the full rate, with four feeders at the origin."""
+
+INSTALL_SECONDS = 0.8
+"""From the last chunk until the engine serves: staging, reading back, the end of its streams."""
 
 BEGIN_SECONDS = 0.8
 """Time that a request may take from this node until it begins at an endpoint: it is sent only if
@@ -22,28 +28,29 @@
 
 
 def choose_version(
-    current: int,
-    remaining_bytes: float,
+    current: WantedVersion,
     newest: WantedVersion,
     total_bytes: float,
     link_rate: float,
-    allowed: float,
-    now: float,
 ) -> int:
     """Choose between finishing the current version and starting the newest at once.
 
-    The current one is finished only if the newest can still be had in time afterwards; else
-    everything spent on it is lost, and so is the newest's deadline.
+    Whichever leaves engines without a permitted version for less time. With ``f`` seconds to
+    bring a version into service and ``gap`` between the two namings, switching passes the
+    current version's deadline by ``gap + f`` less the time allowed, and finishing first passes
+    the newest's by ``2 f - install - gap`` less the same.
+
+    Only the namings decide, and not how far this agent has come: agents that choose differently
+    split the swarm, and neither half has enough to fetch from.
 
-    :param remaining_bytes: bytes of the current version still to be received.
-    :param link_rate: bytes a second of this host's link.
-    :param allowed: seconds from naming a version until every endpoint must have it.
+    :param total_bytes: bytes of one version.
+    :param link_rate: bytes a second of a host's link.
     """
-    if current >= newest.number:
-        return current
-    rate = link_rate * LINK_SHARE
-    finish_both = now + (remaining_bytes + total_bytes) / rate
-    return current if finish_both <= newest.seen_at + allowed else newest.number
+    if current.number >= newest.number:
+        return current.number
+    fetch = total_bytes / (link_rate * LINK_SHARE) + START_SECONDS
+    gap = newest.seen_at - current.seen_at
+    return current.number if gap > fetch / 2 else newest.number
 
 
 def must_insist(wanted: WantedVersion, allowed: float, now: float) -> bool:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -164,7 +164,7 @@
         while True:
             placed = await self._place(course)
             if isinstance(placed, Refused):
-                return self._give_up(course, "place", placed.reason)
+                return self._give_up(course, "place", placed.reason, placed.candidates)
             outcome = await self._attempt(course, placed, sink)
             if outcome is not None:
                 return outcome
@@ -275,14 +275,14 @@
             reason = f"{reason}; no second try left in the budget"
         return Unknown(step, reason, course.peer)
 
-    def _give_up(self, course: _Course, step: str, reason: str) -> Outcome:
+    def _give_up(self, course: _Course, step: str, reason: str, candidates: int = 1) -> Outcome:
         """End a request that nobody runs; say "not run" only if that is certain."""
         if course.may_have_run:
             return Unknown(step, reason, course.peer)
         if course.attempts or course.not_sent:
             retry_after = _CONNECT_RETRY_SECONDS
         else:
-            retry_after = pick_return(max(0.0, course.left), self._random)
+            retry_after = pick_return(max(0.0, course.left), candidates, self._random)
         return NotRun(step, reason, course.peer, retry_after=retry_after)
 
     async def _take_reply(
--- a/packages/wrenloft-routing/src/wrenloft_routing/_table.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_table.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from random import Random
 
-from wrenloft_core import ModelName, OrganisationName, Revision, ServiceName
+from wrenloft_core import ModelName, OrganisationName, PlaceName, Revision, ServiceName
 from wrenloft_policy import EngineProfile
 
 
@@ -61,10 +61,12 @@
 class Origin:
     """Where weights come from.
 
+    :param place: its availability zone, if that is known.
     :param link_rate: bits a second of its link.
     """
 
     address: str
+    place: PlaceName | None
     link_rate: float
     max_connections: int
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
@@ -9,7 +9,7 @@
 
 from wrenloft_core import PlatformUnavailableError, read_clock
 from wrenloft_swarm._holdings import VersionName
-from wrenloft_swarm._ports import Neighbour
+from wrenloft_swarm._ports import Neighbour, Wave
 
 CONNECT_SECONDS = 1.0
 """Longest wait for a connection; its packets queue behind four chunks, 0.2 s, at either end."""
@@ -96,12 +96,14 @@
             await asyncio.sleep(CONNECT_SECONDS)
 
 
-async def fetch_chunk(session: ClientSession, address: str, name: VersionName, chunk: int) -> bytes:
+async def fetch_chunk(
+    session: ClientSession, address: str, name: VersionName, chunk: int, wave: Wave
+) -> bytes:
     """Fetch one chunk from a neighbour, unchecked.
 
     :raises PlatformUnavailableError: if it does not come whole and in time.
     """
-    url = f"http://{address}/chunks/{name.model}/{name.number}/{chunk}"
+    url = f"http://{address}/chunks/{name.model}/{name.number}/{chunk}?wave={wave.value}"
     return await _read(session, url, CHUNK_SECONDS, "fetch-from-neighbour", address)
 
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -25,6 +25,13 @@
     sequence: int
 
 
+class Wave(Enum):
+    """Whether an agent is among those served first."""
+
+    FIRST = "first"
+    SECOND = "second"
+
+
 class OrderResult(Enum):
     """What an engine answered to an order."""
 
@@ -68,7 +75,9 @@
 
     :param address: of its agent.
     :param near: whether it is in the same region.
+    :param at_origin: whether it is in the origin's region.
     """
 
     address: str
     near: bool
+    at_origin: bool = True
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -9,7 +9,7 @@
 
 from wrenloft_core import ModelName, Pacer, read_clock
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
-from wrenloft_swarm._ports import EngineState
+from wrenloft_swarm._ports import EngineState, Wave
 
 REPORT_SECONDS = 0.1
 """Least time between two reports to an entry node; an engine ends a pass about as often."""
@@ -20,18 +20,23 @@
 POSSESSION_SECONDS = 0.1
 """Least time between two messages of what is held; about two chunks arrive meanwhile."""
 
-UPLOADS = 4
+UPLOADS = 5
 """Chunks sent at once. Each takes 54 ms of the link alone; with eight, reports and new connections
 queued half a second behind them, and connections to this agent timed out."""
 
+SECOND_WAVE_UPLOADS = 2
+"""Of these, chunks for agents of the second wave. Sent to alike, all engines have a version at the
+same moment, and all stop taking requests at once to load it; the first wave is served a second
+and a half sooner for the same bytes."""
+
 
 UPLOAD_SHARE = 0.8
 """Part of the link that chunks sent to others may use. The engine's streams leave by the same
 link: at full rate they queued behind chunks, and over half of them came later than their caller's
 bound on the way from the engine."""
 
-_PIECE_BYTES = 8192
-"""Bytes written at a time; they take 18 ms of the link, which an event may have to wait."""
+_PIECE_BYTES = 2880
+"""Bytes written at a time: two packets, 6 ms of the link, which an event may have to wait."""
 
 
 class LatestState:
@@ -73,6 +78,7 @@
         self._latest = latest
         self._is_stopping = is_stopping
         self._uploads = 0
+        self._second_wave = 0
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes."""
@@ -123,13 +129,16 @@
         data = holding.get(_read_integer(request, "chunk"))
         if data is None:
             raise web.HTTPNotFound
-        if self._uploads >= UPLOADS:
+        second = request.query.get("wave") == Wave.SECOND.value
+        if self._uploads >= UPLOADS or (second and self._second_wave >= SECOND_WAVE_UPLOADS):
             raise web.HTTPTooManyRequests
         self._uploads += 1
+        self._second_wave += second
         try:
             return await self._send_paced(request, data)
         finally:
             self._uploads -= 1
+            self._second_wave -= second
 
     async def _send_paced(self, request: web.Request, data: bytes) -> web.StreamResponse:
         response = web.StreamResponse()
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_settings.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_settings.py
@@ -14,7 +14,6 @@
     :param internal_port: port for other nodes, the same on all hosts.
     :param store: address of the platform's store.
     :param link_rate: bits a second of this host's link.
-    :param version_seconds: from naming a version until every engine must have it.
     :param grace: seconds from the signal to stop until the process is killed.
     :param log_lines: lines a second logged at most.
     """
@@ -29,7 +28,6 @@
     internal_port: int
     store: str
     link_rate: float
-    version_seconds: float = 8.0
     grace: float = 8.0
     log_lines: int = 200
     log_level: str = "info"
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from aiohttp import ClientSession
@@ -18,7 +18,7 @@
     Possessions,
     fetch_chunk,
 )
-from wrenloft_swarm._ports import Neighbour, WeightsOrigin
+from wrenloft_swarm._ports import Neighbour, Wave, WeightsOrigin
 
 _LOG = logging.getLogger(__name__)
 
@@ -33,6 +33,9 @@
 """Chunks that a feeder asks of the origin at once: two of its five fetches, so that four feeders
 fill the origin's link although neighbours use theirs too."""
 
+LEAST_FEEDERS = 3
+"""Agents of the origin's region that suffice to use up the origin's link, twice a host's."""
+
 PROGRESS_SECONDS = 1.0
 """Between two log lines on a transfer."""
 
@@ -43,11 +46,22 @@
 SPOILT = Counter("wrenloft_agent_swarm_spoilt", "Chunks whose digest differed", ["source"])
 
 
+def list_origin_members(own: Neighbour, others: Sequence[Neighbour]) -> list[str]:
+    """Return the agents that take turns at the origin, in an order that is the same everywhere.
+
+    Those of the origin's region, unless too few of them are left to use up its link.
+    """
+    everyone = [own, *others]
+    local = [each for each in everyone if each.at_origin]
+    chosen = local if len(local) >= LEAST_FEEDERS else everyone
+    return sorted(each.address for each in chosen)
+
+
 class SwarmTransfer:
     """One version on its way here.
 
     :param neighbours: returns the other agents as now known.
-    :param own_address: this agent's address, as neighbours know it.
+    :param own: this agent as neighbours know it.
     """
 
     def __init__(
@@ -56,14 +70,14 @@
         session: ClientSession,
         origin: WeightsOrigin,
         neighbours: Callable[[], list[Neighbour]],
-        own_address: str,
+        own: Neighbour,
         random: Random,
     ) -> None:
         self._holding = holding
         self._session = session
         self._origin = origin
         self._neighbours = neighbours
-        self._own = own_address
+        self._own = own
         self._random = random
         self._wake = asyncio.Event()
         self._possessions = Possessions(holding.name, session, self._wake)
@@ -145,19 +159,22 @@
             if each.connected and each.avoided_until <= now
         ]
         fetching = [each for each in usable if not self._is_whole(each)]
-        members = sorted([self._own, *(each.neighbour.address for each in fetching)])
         near = sorted(
-            [self._own, *(each.neighbour.address for each in fetching if each.neighbour.near)]
+            [
+                self._own.address,
+                *(each.neighbour.address for each in fetching if each.neighbour.near),
+            ]
         )
+        origin_members = list_origin_members(self._own, [each.neighbour for each in fetching])
         return choose_fetch(
             missing,
             [
                 ChunkSource(each.neighbour.address, each.held, each.busy, each.neighbour.near)
                 for each in usable
             ],
-            self._own,
-            near,
-            members,
+            self._own.address,
+            sorted([self._own.address, *near]),
+            origin_members,
             now - self._begun_at,
             now - self._received_at,
             self._from_origin < ORIGIN_FETCHES and now >= self._origin_after,
@@ -165,6 +182,13 @@
             SOURCE_FETCHES,
         )
 
+    def _pick_wave(self) -> Wave:
+        """Return the wave of this agent: every other one of its region is in the first."""
+        known = self._possessions.known.values()
+        near = [each.neighbour.address for each in known if each.neighbour.near]
+        index = sorted([self._own.address, *near]).index(self._own.address)
+        return Wave.SECOND if index % 2 else Wave.FIRST
+
     def _is_whole(self, followed: Followed) -> bool:
         return followed.held.bit_count() >= len(self._holding.digests)
 
@@ -186,7 +210,9 @@
     async def _fetch_from_neighbour(self, chunk: int, followed: Followed) -> None:
         address = followed.neighbour.address
         try:
-            data = await fetch_chunk(self._session, address, self._holding.name, chunk)
+            data = await fetch_chunk(
+                self._session, address, self._holding.name, chunk, self._pick_wave()
+            )
             self._keep(chunk, data, "near" if followed.neighbour.near else "far", address)
             followed.failures = 0
         except IntegrityError as error:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -21,7 +21,7 @@
     WeightsOrigin,
 )
 from wrenloft_swarm._server import LatestState
-from wrenloft_swarm._transfer import SwarmTransfer
+from wrenloft_swarm._transfer import SwarmTransfer, list_origin_members
 
 T = TypeVar("T")
 
@@ -53,9 +53,9 @@
 class Means:
     """What an upkeep works with.
 
-    :param own_address: this agent's address, as neighbours know it.
+    :param own: this agent as neighbours know it.
     :param link_rate: bytes a second of this host's link.
-    :param allowed: seconds from naming a version until every engine must have it.
+    :param chunk_bytes: bytes of one chunk.
     """
 
     engine: Engine
@@ -64,9 +64,9 @@
     holdings: Holdings
     latest: LatestState
     neighbours: Callable[[], list[Neighbour]]
-    own_address: str
+    own: Neighbour
     link_rate: float
-    allowed: float
+    chunk_bytes: int
     random: Random
 
 
@@ -77,6 +77,7 @@
         self._model = model
         self._means = means
         self._newest = WantedVersion(1, read_clock())
+        self._current = self._newest
         self._named = asyncio.Event()
         self._ordered: tuple[int, float] | None = None
 
@@ -110,6 +111,7 @@
             if state is None or self._is_settled(state, target):
                 await self._rest()
                 continue
+            self._current = target
             try:
                 await self._bring(VersionName(self._model, target.number))
             except PlatformUnavailableError as error:
@@ -191,15 +193,16 @@
         raise PlatformUnavailableError("nobody has the digests", step="find-digests")
 
     def _is_feeder(self) -> bool:
-        own = self._means.own_address
-        members = sorted([own, *(each.address for each in self._means.neighbours())])
-        return own in list_feeders(members, 0.0)
+        return self._means.own.address in self._list_feeders()
+
+    def _list_feeders(self) -> list[str]:
+        members = list_origin_members(self._means.own, self._means.neighbours())
+        return list_feeders(members, 0.0)
 
     async def _ask_neighbours(self, name: VersionName) -> tuple[str, ...] | None:
         """Ask a few neighbours, feeders first, for a version's digests."""
         addresses = [each.address for each in self._means.neighbours()]
-        own = self._means.own_address
-        feeders = set(list_feeders(sorted([own, *addresses]), 0.0))
+        feeders = set(self._list_feeders())
         self._means.random.shuffle(addresses)
         addresses.sort(key=lambda each: each not in feeders)
         for address in addresses[:NEIGHBOURS_ASKED]:
@@ -225,7 +228,7 @@
             means.session,
             means.origin,
             means.neighbours,
-            means.own_address,
+            means.own,
             means.random,
         )
         task = asyncio.create_task(transfer.run())
@@ -247,24 +250,10 @@
     def _should_switch(self, holding: Holding) -> bool:
         if self._newest.number <= holding.name.number:
             return False
-        count = len(holding.digests)
-        size = self._chunk_bytes(holding)
-        chosen = choose_version(
-            holding.name.number,
-            (count - holding.held) * size,
-            self._newest,
-            count * size,
-            self._means.link_rate,
-            self._means.allowed,
-            read_clock(),
-        )
+        size = len(holding.digests) * self._means.chunk_bytes
+        chosen = choose_version(self._current, self._newest, size, self._means.link_rate)
         return chosen != holding.name.number
 
-    @staticmethod
-    def _chunk_bytes(holding: Holding) -> int:
-        sizes = [len(holding.get(each) or b"") for each in range(len(holding.digests))]
-        return max(sizes, default=0)
-
     async def _doubt_digests(self, holding: Holding) -> None:
         """Ask for the digests anew: one that was spoilt on its way fits no chunk."""
         digests = await self._means.origin.fetch_digests(holding.name)
