Ask the origin only when neighbours have said what they hold; tests of the swarm

Cause: a host that joins knew of nobody's chunks for its first milliseconds and drew six of twelve chunks from the origin that its neighbour held (new test, failed first). Change: the origin waits for the neighbours' word, 0.25 s at most.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -33,6 +33,10 @@
 """Chunks that a feeder asks of the origin at once: two of its five fetches, so that four feeders
 fill the origin's link although neighbours use theirs too."""
 
+HEAR_SECONDS = 0.25
+"""Time for neighbours to say what they hold: a connection across regions takes 8 ms, behind chunks
+of another version up to 0.2 s."""
+
 LEAST_FEEDERS = 3
 """Agents of the origin's region that suffice to use up the origin's link, twice a host's."""
 
@@ -185,11 +189,21 @@
             self._measure_waits(missing, now),
             now - self._begun_at,
             now - self._received_at,
-            self._from_origin < ORIGIN_FETCHES and now >= self._origin_after,
+            self._may_ask_origin(now),
             self._random,
             SOURCE_FETCHES,
         )
 
+    def _may_ask_origin(self, now: float) -> bool:
+        """Tell whether another fetch from the origin may start.
+
+        Not before the neighbours have said what they hold: an agent that joins would draw chunks
+        from the origin that all others have.
+        """
+        known = self._possessions.known.values()
+        heard = all(each.connected for each in known) or now - self._begun_at > HEAR_SECONDS
+        return heard and self._from_origin < ORIGIN_FETCHES and now >= self._origin_after
+
     def _measure_waits(self, missing: Sequence[int], now: float) -> dict[int, float]:
         """Return for how long each missing chunk has been known to be held by somebody."""
         held = 0
--- /dev/null
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -0,0 +1,344 @@
+"""Tests of weights on their way: what is kept, from whom it is fetched, what is loaded."""
+
+import asyncio
+import hashlib
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from aiohttp import ClientSession, web
+
+from wrenloft_core import IntegrityError, ModelName, Pacer, PlatformUnavailableError
+from wrenloft_swarm import (
+    EngineState,
+    Holding,
+    Holdings,
+    LatestState,
+    Means,
+    Neighbour,
+    OrderResult,
+    SwarmRoutes,
+    SwarmTransfer,
+    Upkeep,
+    VersionName,
+)
+
+MODEL = ModelName("m")
+COUNT = 12
+
+
+def _chunks(version: int) -> list[bytes]:
+    return [f"chunk {version}/{number}".encode() * 50 for number in range(COUNT)]
+
+
+def _digests(version: int) -> tuple[str, ...]:
+    return tuple(hashlib.sha256(each).hexdigest() for each in _chunks(version))
+
+
+@dataclass
+class FakeOrigin:
+    """An origin that counts what it sends and spoils or refuses on request."""
+
+    sent: list[tuple[int, int]] = field(default_factory=list)
+    spoil: int = 0
+    wrong_lists: int = 0
+    down: bool = False
+
+    async def fetch_digests(self, name: VersionName) -> tuple[str, ...]:
+        if self.down:
+            raise PlatformUnavailableError("down", step="fetch-digests")
+        if self.wrong_lists > 0:
+            self.wrong_lists -= 1
+            return ("0" * 64, *_digests(name.number)[1:])
+        return _digests(name.number)
+
+    async def fetch_chunk(self, name: VersionName, chunk: int) -> bytes:
+        if self.down:
+            raise PlatformUnavailableError("down", step="fetch-from-origin")
+        self.sent.append((name.number, chunk))
+        if self.spoil > 0:
+            self.spoil -= 1
+            return b"spoilt"
+        return _chunks(name.number)[chunk]
+
+
+@dataclass
+class FakeEngine:
+    """An engine that loads what lies staged at the moment of the order.
+
+    :param rot: chunks that turn bad as soon as they are staged for the first time.
+    """
+
+    staged: dict[int, bytes] = field(default_factory=dict)
+    version: int = 0
+    loaded: list[tuple[int, bool]] = field(default_factory=list)
+    rot: set[int] = field(default_factory=set)
+    busy: int = 0
+
+    async def report(self) -> EngineState:
+        return EngineState(0, 0, self.version, False, 1.0, 0.0, len(self.loaded))
+
+    async def list_staged(self, name: VersionName) -> set[int]:
+        return set(self.staged)
+
+    async def read_staged(self, name: VersionName, chunk: int) -> bytes | None:
+        return self.staged.get(chunk)
+
+    async def stage(self, name: VersionName, chunk: int, data: bytes) -> None:
+        if chunk in self.rot:
+            self.rot.discard(chunk)
+            data = b"rotten"
+        self.staged[chunk] = data
+
+    async def order(self, name: VersionName) -> OrderResult:
+        if self.busy > 0:
+            self.busy -= 1
+            return OrderResult.BUSY
+        whole = [self.staged.get(each) for each in range(COUNT)] == _chunks(name.number)
+        self.loaded.append((name.number, whole))
+        self.version = name.number
+        return OrderResult.ACCEPTED
+
+
+@dataclass
+class Peer:
+    """One agent's holdings, served on the loopback address."""
+
+    holdings: Holdings
+    neighbour: Neighbour
+    heard: list[tuple[str, int]]
+
+
+@pytest.fixture
+async def stack() -> AsyncIterator[AsyncExitStack]:
+    """Own everything that a test opens."""
+    async with AsyncExitStack() as stack:
+        yield stack
+
+
+@pytest.fixture
+async def session(stack: AsyncExitStack) -> ClientSession:
+    """Open a session."""
+    return await stack.enter_async_context(ClientSession())
+
+
+async def _serve(stack: AsyncExitStack, *, near: bool = True) -> Peer:
+    holdings = Holdings()
+    heard: list[tuple[str, int]] = []
+    routes = SwarmRoutes(
+        holdings,
+        LatestState(),
+        lambda: False,
+        lambda model, number: heard.append((model, number)),
+        Pacer(1e9),
+        "r",
+    )
+    app = web.Application()
+    app.add_routes(routes.routes())
+    runner = web.AppRunner(app, shutdown_timeout=0.1, handler_cancellation=True)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    return Peer(holdings, Neighbour(address, near), heard)
+
+
+def _fill(holding: Holding, chunks: range) -> None:
+    for chunk in chunks:
+        holding.add(chunk, _chunks(holding.name.number)[chunk], "test")
+
+
+def _transfer(
+    peer: Peer, others: list[Peer], session: ClientSession, origin: FakeOrigin, version: int = 1
+) -> SwarmTransfer:
+    name = VersionName(MODEL, version)
+    holding = peer.holdings.get(name) or peer.holdings.open(name, _digests(version))
+    neighbours = [each.neighbour for each in others]
+    return SwarmTransfer(
+        holding, session, origin, lambda: neighbours, peer.neighbour, Random(peer.neighbour.address)
+    )
+
+
+class TestHolding:
+    """Tests for ``Holding``."""
+
+    def test_refuses_spoilt_bytes(self) -> None:
+        """What does not fit its digest is never kept, so it is never passed on or loaded."""
+        holding = Holding(VersionName(MODEL, 1), _digests(1))
+        with pytest.raises(IntegrityError):
+            holding.add(0, _chunks(2)[0], "peer")
+        assert holding.get(0) is None
+        assert not holding.mask
+
+    def test_drops_old_versions_only(self) -> None:
+        """The version in service and the ones about it stay."""
+        holdings = Holdings()
+        for number in range(1, 6):
+            holdings.open(VersionName(MODEL, number), _digests(number))
+        kept = [n for n in range(1, 6) if holdings.get(VersionName(MODEL, n))]
+        assert kept == [3, 4, 5]
+
+
+class TestSwarmTransfer:
+    """Tests for ``SwarmTransfer``."""
+
+    async def test_takes_what_neighbours_hold_without_the_origin(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """A host that joins draws nothing from the origin while a neighbour has all."""
+        full, new = await _serve(stack), await _serve(stack)
+        _fill(full.holdings.open(VersionName(MODEL, 1), _digests(1)), range(COUNT))
+        origin = FakeOrigin()
+        async with asyncio.timeout(10):
+            await _transfer(new, [full], session, origin).run()
+        assert not origin.sent
+
+    async def test_swarm_draws_about_one_copy_from_the_origin(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Five hosts that start with nothing all become whole from little more than one copy."""
+        peers = [await _serve(stack) for _ in range(5)]
+        origin = FakeOrigin()
+        transfers = [
+            _transfer(peer, [each for each in peers if each is not peer], session, origin)
+            for peer in peers
+        ]
+        async with asyncio.timeout(20):
+            await asyncio.gather(*(each.run() for each in transfers))
+        assert len(origin.sent) <= 2 * COUNT
+
+    async def test_spoilt_chunk_is_fetched_again(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """The origin's link spoils three chunks; the version still becomes whole and right."""
+        peer = await _serve(stack)
+        origin = FakeOrigin(spoil=3)
+        transfer = _transfer(peer, [], session, origin)
+        async with asyncio.timeout(10):
+            await transfer.run()
+        assert sum(transfer.spoilt.values()) == 3
+
+    async def test_dead_neighbour_does_not_hold_up_its_turns(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Chunks whose turn is a dead host's are fetched by another after a while."""
+        peer = await _serve(stack)
+        dead = Peer(Holdings(), Neighbour("127.0.0.1:9", near=True), [])
+        async with asyncio.timeout(20):
+            await _transfer(peer, [dead], session, FakeOrigin()).run()
+
+    async def test_asking_tells_the_neighbour_of_a_version(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """An agent that the store has not told yet hears of a version from whoever asks for it."""
+        peer, other = await _serve(stack), await _serve(stack)
+        async with asyncio.timeout(20):
+            await _transfer(peer, [other], session, FakeOrigin(), version=2).run()
+        assert (MODEL, 2) in other.heard
+
+
+class Rig:
+    """An upkeep with a fake engine and origin, and no neighbours."""
+
+    def __init__(self, stack: AsyncExitStack, session: ClientSession, engine: FakeEngine) -> None:
+        self.engine = engine
+        self.origin = FakeOrigin()
+        means = Means(
+            engine=engine,
+            origin=self.origin,
+            session=session,
+            holdings=Holdings(),
+            latest=LatestState(),
+            neighbours=list,
+            own=Neighbour("own:1", near=True),
+            link_rate=1e6,
+            chunk_bytes=100,
+            random=Random(1),
+        )
+        self.upkeep = Upkeep(MODEL, means)
+        for work in (self.upkeep.follow_engine(), self.upkeep.run()):
+            stack.callback(asyncio.create_task(work).cancel)
+
+    async def wait_for(self, version: int) -> None:
+        """Wait until the engine has loaded a version."""
+        async with asyncio.timeout(15):
+            while self.engine.version != version:
+                await asyncio.sleep(0.02)
+
+
+class TestUpkeep:
+    """Tests for ``Upkeep``."""
+
+    async def test_empty_engine_gets_the_first_version(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """An engine that was added serves without anybody's order."""
+        rig = Rig(stack, session, FakeEngine())
+        await rig.wait_for(1)
+        assert rig.engine.loaded == [(1, True)]
+
+    async def test_named_version_is_loaded_whole(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """A version that operators name is in service, every chunk of it right."""
+        rig = Rig(stack, session, FakeEngine(version=1))
+        rig.upkeep.name_version(2)
+        await rig.wait_for(2)
+        assert rig.engine.loaded == [(2, True)]
+
+    async def test_rotten_staged_chunks_are_replaced_before_the_order(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Two staged chunks turn bad; the engine never loads them.
+
+        The engine takes whatever lies staged when it is ordered, and checks nothing.
+        """
+        rig = Rig(stack, session, FakeEngine(version=1, rot={3, 7}))
+        rig.upkeep.name_version(2)
+        await rig.wait_for(2)
+        assert rig.engine.loaded == [(2, True)]
+
+    async def test_restarted_engine_is_loaded_again(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """An engine that lost its weights gets them back from this agent, not from the origin."""
+        rig = Rig(stack, session, FakeEngine())
+        await rig.wait_for(1)
+        drawn = len(rig.origin.sent)
+        rig.engine.version = 0
+        rig.engine.staged.clear()
+        await rig.wait_for(1)
+        assert rig.engine.loaded == [(1, True), (1, True)]
+        assert len(rig.origin.sent) == drawn
+
+    async def test_busy_engine_is_ordered_again(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """An order that met a busy engine is not taken for one that was accepted."""
+        rig = Rig(stack, session, FakeEngine(busy=2))
+        await rig.wait_for(1)
+
+    async def test_wrong_list_of_digests_is_replaced(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """One digest was spoilt on its way, so its chunk never fits; the list is asked for anew."""
+        rig = Rig(stack, session, FakeEngine())
+        rig.origin.wrong_lists = 1
+        await rig.wait_for(1)
+        assert rig.engine.loaded == [(1, True)]
+
+    async def test_staged_chunks_are_taken_at_the_start(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """What lies staged beside the engine is held, but not what rotted there."""
+        staged = dict(enumerate(_chunks(1)))
+        staged[4] = b"rotten"
+        rig = Rig(stack, session, FakeEngine(staged=staged, version=1))
+        holdings = rig.upkeep._means.holdings
+        async with asyncio.timeout(5):
+            while (held := holdings.get(VersionName(MODEL, 1))) is None or held.held < COUNT - 1:
+                await asyncio.sleep(0.02)
+        assert held.missing() == [4]
+        assert not rig.origin.sent
