--- /dev/null
+++ b/packages/wrenloft-policy/tests/test_endpoints.py
@@ -0,0 +1,144 @@
+"""Tests of which endpoint gets a request, and whether it is sent, held or refused."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wrenloft_policy import (
+    AIM_SHARE_MOST,
+    EndpointLoad,
+    EngineProfile,
+    Verdict,
+    adjust_aim_share,
+    choose_endpoint,
+    count_seconds,
+    decide_turn,
+    pick_return,
+    predict_first_event,
+)
+
+PROFILE = EngineProfile(16, 5, 0.00887, 0.0000388, 19100.0, 2048, 977, 94)
+
+
+def _load(key: str, running: int = 0, distance: int = 0, *, suspect: bool = False) -> EndpointLoad:
+    return EndpointLoad(key, 16, running, 0, 0, distance, suspect=suspect)
+
+
+class TestPredictFirstEvent:
+    """Tests for ``predict_first_event``."""
+
+    def test_idle_engine_reads_and_writes(self) -> None:
+        """With nothing before it, a usual prompt takes its reading and one pass."""
+        prediction = predict_first_event(PROFILE, 0, 0, 977)
+        assert 0.09 < prediction.total < 0.13
+
+    @given(st.integers(0, 40), st.integers(0, 40), st.floats(0, 8000))
+    def test_more_work_before_it_is_never_faster(
+        self, running: int, waiting: int, prompt: float
+    ) -> None:
+        """A request more in the batch or in the queue does not shorten the wait."""
+        here = predict_first_event(PROFILE, running, waiting, prompt).total
+        assert predict_first_event(PROFILE, running + 1, waiting, prompt).total >= here - 1e-9
+        assert predict_first_event(PROFILE, running, waiting + 1, prompt).total >= here - 1e-9
+
+    def test_slow_engine_takes_longer(self) -> None:
+        """An engine that says it runs at half speed is predicted to take twice as long."""
+        usual = predict_first_event(PROFILE, 8, 1, 977).total
+        assert predict_first_event(PROFILE, 8, 1, 977, pace=2.0).total == 2 * usual
+
+
+class TestChooseEndpoint:
+    """Tests for ``choose_endpoint``."""
+
+    def test_takes_the_least_loaded_of_few(self) -> None:
+        """Of two engines the idle one is taken."""
+        chosen = choose_endpoint([_load("a", 16), _load("b", 2)], PROFILE, 977, 0.02, Random(1))
+        assert chosen is not None
+        assert chosen.key == "b"
+
+    def test_prefers_near_among_equals(self) -> None:
+        """Between alike engines the one in the same zone saves bytes that are paid for."""
+        loads = [_load("far", 4, distance=2), _load("near", 4)]
+        chosen = choose_endpoint(loads, PROFILE, 977, 0.02, Random(1))
+        assert chosen is not None
+        assert chosen.key == "near"
+
+    def test_suspect_is_used_only_if_there_is_no_other(self) -> None:
+        """An endpoint that failed lately is left alone, but is better than none."""
+        both = [_load("bad", suspect=True), _load("good", 16)]
+        alone = [_load("bad", suspect=True)]
+        first = choose_endpoint(both, PROFILE, 977, 0.02, Random(1))
+        second = choose_endpoint(alone, PROFILE, 977, 0.02, Random(1))
+        assert first is not None
+        assert second is not None
+        assert (first.key, second.key) == ("good", "bad")
+
+    def test_nodes_that_know_the_same_spread_their_requests(self) -> None:
+        """Nine nodes with the same reports do not all send to the one idle engine."""
+        loads = [_load(str(number), number % 3) for number in range(12)]
+        chosen = {
+            choice.key
+            for seed in range(60)
+            if (choice := choose_endpoint(loads, PROFILE, 977, 0.02, Random(seed)))
+        }
+        assert len(chosen) >= 4
+
+
+class TestDecideTurn:
+    """Tests for ``decide_turn``."""
+
+    def test_overload_holds_a_moment_then_refuses(self) -> None:
+        """With nothing free in time, a request waits a tenth of its aim and is then refused."""
+        assert decide_turn(0.9, 0.01, 0.4, 6.0, limited=True) is Verdict.HOLD
+        assert decide_turn(0.9, 0.06, 0.4, 6.0, limited=True) is Verdict.REFUSE
+
+    def test_plain_service_sends_what_can_still_be_answered(self) -> None:
+        """Where capacity is not scarce, late is better than refused."""
+        assert decide_turn(0.5, 0.1, 0.1, 0.9, limited=False) is Verdict.SEND
+        assert decide_turn(2.0, 0.1, 0.1, 0.9, limited=False) is Verdict.REFUSE
+
+    def test_late_returns_use_spare_room_only(self) -> None:
+        """A caller refused before is late already: it waits for room that nobody else needs."""
+        busy = decide_turn(0.3, 1.0, 0.4, 4.0, limited=True, spent=1.0)
+        spare = decide_turn(0.1, 1.0, 0.4, 4.0, limited=True, spent=1.0)
+        waited = decide_turn(0.3, 2.5, 0.4, 4.0, limited=True, spent=1.0)
+        assert (busy, spare, waited) == (Verdict.HOLD, Verdict.SEND, Verdict.REFUSE)
+
+    def test_large_prompts_queue_as_long_as_others(self) -> None:
+        """Under load the largest prompts are let in where a usual one is.
+
+        Their own reading takes half of the aim; counted in full they would never find room.
+        """
+        usual = count_seconds(predict_first_event(PROFILE, 10, 0, 977), PROFILE)
+        large = count_seconds(predict_first_event(PROFILE, 10, 0, 3880), PROFILE)
+        assert large - usual < 0.1
+
+    def test_late_first_events_lower_what_is_let_in(self) -> None:
+        """A few late first events make a node stricter, a calm while lets it open again."""
+        share = AIM_SHARE_MOST
+        for _ in range(10):
+            share = adjust_aim_share(share, in_time=False)
+        strict = share
+        for _ in range(60):
+            share = adjust_aim_share(share, in_time=True)
+        assert strict < 0.6 * AIM_SHARE_MOST
+        assert share == AIM_SHARE_MOST
+
+
+class TestPickReturn:
+    """Tests for ``pick_return``."""
+
+    @given(st.floats(0.1, 10), st.integers(0, 3), st.integers())
+    def test_callers_can_wait_that_long(self, left: float, candidates: int, seed: int) -> None:
+        """Nobody is told a time that it will not wait."""
+        assert 0.05 <= pick_return(left, candidates, Random(seed)) <= max(0.05, left / 3)
+
+    def test_returns_are_spread(self) -> None:
+        """A burst that is refused does not come back as one."""
+        returns = sorted(pick_return(6.0, 5, Random(seed)) for seed in range(50))
+        assert returns[-1] - returns[0] > 0.8
+
+    def test_outage_sends_callers_far_ahead(self) -> None:
+        """While no endpoint can take requests, an early return would be refused again."""
+        assert min(pick_return(6.0, 0, Random(seed)) for seed in range(50)) >= 1.6
--- /dev/null
+++ b/packages/wrenloft-policy/tests/test_fetching.py
@@ -0,0 +1,85 @@
+"""Tests of which chunk an agent fetches next, and from whom."""
+
+from random import Random
+
+from wrenloft_policy import ChunkSource, choose_fetch, list_feeders
+
+NEAR = ["10.1.0.1:1", "10.1.0.2:1"]
+FAR = ["10.2.0.1:1"]
+
+
+def _choose(
+    sources: list[ChunkSource],
+    missing: list[int],
+    *,
+    own: str = NEAR[0],
+    waited: float = 0.0,
+    idle: float = 0.0,
+    origin: list[str] | None = None,
+) -> tuple[int, str | None] | None:
+    pick = choose_fetch(
+        missing,
+        sources,
+        own,
+        NEAR,
+        origin if origin is not None else [own],
+        dict.fromkeys(missing, waited),
+        0.0,
+        idle,
+        True,
+        Random(1),
+        2,
+    )
+    return None if pick is None else (pick.chunk, pick.address)
+
+
+class TestChooseFetch:
+    """Tests for ``choose_fetch``."""
+
+    def test_origin_goes_before_neighbours(self) -> None:
+        """A chunk that nobody holds is fetched first: all others wait for it."""
+        sources = [ChunkSource(NEAR[1], 0b0111, 0, near=True)]
+        assert _choose(sources, [0, 1, 2, 3]) == (3, None)
+
+    def test_rarest_near_chunk_is_taken(self) -> None:
+        """Of what the region holds, the chunk with the fewest holders comes first."""
+        sources = [
+            ChunkSource(NEAR[1], 0b011, 0, near=True),
+            ChunkSource("10.1.0.3:1", 0b001, 0, near=True),
+        ]
+        assert _choose(sources, [0, 1]) == (1, NEAR[1])
+
+    def test_far_chunk_is_brought_over_in_turn(self) -> None:
+        """One agent of the region brings a chunk over; the other waits, then takes its turn."""
+        sources = [ChunkSource(FAR[0], 0b1, 0, near=False)]
+        assert _choose(sources, [0], own=NEAR[0]) == (0, FAR[0])
+        assert _choose(sources, [0], own=NEAR[1]) is None
+        assert _choose(sources, [0], own=NEAR[1], waited=3.0) == (0, FAR[0])
+
+    def test_busy_near_holder_keeps_a_chunk_from_crossing(self) -> None:
+        """A neighbour that is busy for a moment still holds its chunks."""
+        sources = [
+            ChunkSource(NEAR[1], 0b1, 2, near=True),
+            ChunkSource(FAR[0], 0b1, 0, near=False),
+        ]
+        assert _choose(sources, [0]) is None
+
+    def test_starving_agent_ignores_turns(self) -> None:
+        """With nothing coming for seconds, better twice than never."""
+        assert _choose([], [0], own=NEAR[1], origin=[NEAR[0]]) is None
+        assert _choose([], [0], own=NEAR[1], origin=[NEAR[0]], idle=1.5) == (0, None)
+
+
+class TestListFeeders:
+    """Tests for ``list_feeders``."""
+
+    def test_few_fetch_at_a_time_and_turns_pass_on(self) -> None:
+        """Four of many ask the origin, and after a while four others."""
+        members = [f"a{number:02}" for number in range(14)]
+        first, later = list_feeders(members, 0.0), list_feeders(members, 1.6)
+        assert len(first) == len(set(first)) == 4
+        assert first != later
+
+    def test_small_swarms_all_feed(self) -> None:
+        """Two agents are two feeders."""
+        assert set(list_feeders(["a", "b"], 0.0)) == {"a", "b"}
--- /dev/null
+++ b/packages/wrenloft-routing/tests/test_beliefs.py
@@ -0,0 +1,301 @@
+"""Tests of what a node believes of the store, of endpoints and of other nodes, and for how long."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession
+
+from wrenloft_core import (
+    AgentId,
+    NodeId,
+    PlaceName,
+    PlatformUnavailableError,
+    RegionName,
+    ServiceName,
+    read_clock,
+)
+from wrenloft_routing import (
+    CurrencyProof,
+    Endpoint,
+    Endpoints,
+    EngineReport,
+    EventSplitter,
+    Item,
+    Member,
+    Members,
+    Reading,
+    SharedBudget,
+    SharedReading,
+    Taken,
+)
+
+PLACE = PlaceName("p")
+REGION = RegionName("r")
+SERVICE = ServiceName("s")
+
+
+def _endpoint(name: str, **changes: Any) -> Endpoint:
+    fields: dict[str, Any] = {
+        "agent_id": AgentId(name),
+        "service": SERVICE,
+        "address": f"{name}:1",
+        "place": PLACE,
+        "region": REGION,
+        "slots": 4,
+    }
+    return Endpoint(**{**fields, **changes})
+
+
+def _member(name: str, place: str = "p") -> Member:
+    return Member(NodeId(name), PlaceName(place), REGION, f"{name}:80", f"{name}:7700")
+
+
+class TestEndpoints:
+    """Tests for ``Endpoints``."""
+
+    def test_leaving_outlives_an_older_reading(self) -> None:
+        """An endpoint that said it leaves gets nothing more.
+
+        A reading from before it said so arrives afterwards, from a node that was slow.
+        """
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a", leaving=True)], trusted=True)
+        endpoints.update([_endpoint("a")], trusted=True)
+        assert endpoints.of_service(SERVICE)[0].leaving
+
+    def test_leaving_outlives_a_lapsed_entry(self) -> None:
+        """The mark holds also when the entry vanishes and comes back."""
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a", leaving=True)], trusted=True)
+        endpoints.update([], trusted=True)
+        endpoints.update([_endpoint("a")], trusted=True)
+        assert endpoints.of_service(SERVICE)[0].leaving
+
+    def test_missing_entry_is_gone_only_if_the_reading_is_trusted(self) -> None:
+        """Entries lapse while the store is away; their endpoints still serve.
+
+        Once the store has been back for a while, a missing entry is a left endpoint at once.
+        """
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a")], trusted=True)
+        endpoints.update([], trusted=False)
+        assert endpoints.of_service(SERVICE)
+        endpoints.update([], trusted=True)
+        assert not endpoints.of_service(SERVICE)
+
+    def test_lapsed_endpoint_that_returns_is_used_again(self) -> None:
+        """Being gone is no mark of leaving."""
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a")], trusted=True)
+        endpoints.update([], trusted=True)
+        endpoints.update([_endpoint("a")], trusted=True)
+        assert not endpoints.of_service(SERVICE)[0].leaving
+
+    def test_sends_since_a_report_count(self) -> None:
+        """Between two reports an idle engine does not look idle to the node that fills it."""
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a")], trusted=True)
+        now = read_clock()
+        endpoints.record_report("a:1", EngineReport(2, 1, 1, False, 1.0, 0.1), now)
+        state = endpoints.of_service(SERVICE)[0]
+        state.sent_since += 3
+        load = endpoints.measure(state, now)
+        assert (load.running, load.waiting, load.sent_since) == (2, 1, 3)
+
+    def test_failures_keep_requests_away_longer_each_time(self) -> None:
+        """A flapping endpoint is tried ever less often, up to a bound, and forgiven at once."""
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a")], trusted=True)
+        state = endpoints.of_service(SERVICE)[0]
+        pauses = []
+        for _ in range(5):
+            endpoints.record_failure(state, 100.0)
+            pauses.append(state.suspect_until - 100.0)
+        assert pauses == sorted(pauses)
+        assert pauses[-1] <= 6.0
+        endpoints.record_success(state)
+        assert state.suspect_until == 0.0
+
+
+class TestSharedBudget:
+    """Tests for ``SharedBudget``."""
+
+    @pytest.mark.parametrize("nodes", [1, 3, 9])
+    def test_all_nodes_together_stay_within_the_allowance(self, nodes: int) -> None:
+        """Whatever the callers do, second tries stay below the shared bound in every window.
+
+        All nodes spend whatever they may, with ten requests a second each, for a minute.
+        """
+        budgets = [SharedBudget(0.2, 106.0, 10.0, nodes) for _ in range(nodes)]
+        spent: list[float] = []
+        for tenth in range(600):
+            now = tenth / 10
+            for budget in budgets:
+                budget.earn(SERVICE, now)
+                while budget.spend(SERVICE, now):
+                    spent.append(now)
+        for start in range(50):
+            inside = sum(start <= at < start + 10 for at in spent)
+            assert inside <= 0.2 * nodes * 100 + 106
+
+
+class TestCurrencyProof:
+    """Tests for ``CurrencyProof``."""
+
+    def test_keys_need_a_young_proof(self) -> None:
+        """Without one, before the first and after the bound, no key may be used."""
+        proof = CurrencyProof(5.0)
+        assert not proof.allows_keys()
+        proof.record(read_clock())
+        assert proof.allows_keys()
+
+    def test_proof_counts_from_the_beginning_of_its_read(self) -> None:
+        """An answer that took four seconds proves what was true four seconds ago."""
+        proof = CurrencyProof(5.0)
+        proof.record(read_clock() - 4.5)
+        assert not proof.allows_keys()
+
+    def test_late_answer_does_not_take_a_younger_proof_away(self) -> None:
+        """Answers overtake each other; the youngest counts."""
+        proof = CurrencyProof(5.0)
+        proof.record(read_clock())
+        proof.record(read_clock() - 60.0)
+        assert proof.allows_keys()
+
+
+class TestEventSplitter:
+    """Tests for ``EventSplitter``."""
+
+    def test_cuts_at_any_place(self) -> None:
+        """Wherever the network cuts, the same whole events come out."""
+        data = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        for cut in range(len(data)):
+            splitter = EventSplitter()
+            events = splitter.feed(data[:cut]) + splitter.feed(data[cut:])
+            assert [each.number for each in events] == [1, 2]
+            assert b"".join(each.data for each in events) == data
+            assert not splitter.torn
+
+
+class TestMembers:
+    """Tests for ``Members``."""
+
+    def test_callers_get_the_nearest_that_are_enough(self) -> None:
+        """Two nodes in the caller's zone suffice; one does not."""
+        members = Members(_member("a"))
+        members.update([_member("b"), _member("c", "q")])
+        assert members.choose(PLACE, REGION) == ["a:80", "b:80"]
+        assert len(members.choose(PlaceName("q"), REGION)) == 3
+
+    def test_silent_node_is_no_longer_named(self) -> None:
+        """A dead node is out after two pings, a refused connection counts as both."""
+        members = Members(_member("a"))
+        members.update([_member("b"), _member("c")])
+        b, c = members.others(near=True)
+        members.record(b, answered=False, ready=False)
+        assert "b:80" in members.choose(PLACE, REGION)
+        members.record(b, answered=False, ready=False)
+        members.record(c, answered=False, ready=False, refused=True)
+        assert members.choose(PLACE, REGION) == ["a:80"]
+
+    def test_cut_off_node_names_all_it_knows(self) -> None:
+        """A node that hears nobody and is not ready itself still gives callers somewhere to go."""
+        members = Members(_member("a"))
+        members.update([_member("b")])
+        members.own.ready = False
+        members.record(members.others(near=True)[0], answered=False, ready=False, refused=True)
+        assert len(members.choose(PLACE, REGION)) == 2
+
+    def test_lapsed_entry_of_a_live_node_stays(self) -> None:
+        """Entries lapse while the store is away; nodes that answer pings are still there."""
+        members = Members(_member("a"))
+        members.update([_member("b")])
+        members.update([])
+        assert len(members) == 2
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def read(self) -> float:
+        return self.now
+
+
+def _shared(
+    fetch: Callable[[], Any], taken: list[Taken], session: ClientSession
+) -> tuple[SharedReading, Members]:
+    members = Members(_member("a"))
+    return SharedReading("x", fetch, taken.append, 0.01, members, session), members
+
+
+class TestSharedReading:
+    """Tests for ``SharedReading``."""
+
+    async def test_reads_the_store_and_recovers(self) -> None:
+        """Readings go on after the store was away."""
+        outcomes: list[Any] = [1, None, None, 2]
+
+        async def fetch() -> Reading:
+            outcome = outcomes.pop(0) if outcomes else 2
+            if outcome is None:
+                raise PlatformUnavailableError("away", step="list")
+            return Reading((Item("k", b"v", outcome),), outcome)
+
+        taken: list[Taken] = []
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, taken, session)
+            task = asyncio.create_task(shared.follow())
+            async with asyncio.timeout(5):
+                while not taken or taken[-1].reading.revision != 2:
+                    await asyncio.sleep(0.01)
+            task.cancel()
+        assert taken[0].reading.revision == 1
+
+    async def test_returns_are_trusted_only_after_a_while(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Right after an outage a missing entry may have lapsed; two seconds later it is gone.
+
+        A single late reading is no outage, and changes nothing.
+        """
+        clock = _Clock()
+        monkeypatch.setattr("wrenloft_routing._readings.read_clock", clock.read)
+        taken: list[Taken] = []
+
+        async def fetch() -> Reading:
+            return Reading((), 5)
+
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, taken, session)
+            trusted = []
+            for pause in (0.0, 0.7, 1.8, 6.0, 1.0, 1.0, 1.0):
+                clock.now += pause
+                await shared._read()
+                trusted.append(taken[-1].trusted)
+        assert trusted == [True, True, True, False, False, False, True]
+
+    async def test_older_reading_is_not_taken(self) -> None:
+        """A neighbour's older reading that arrives late never reverts a newer one."""
+        taken: list[Taken] = []
+
+        async def fetch() -> Reading:
+            raise PlatformUnavailableError("away", step="list")
+
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, taken, session)
+            shared._accept(Taken(Reading((), 7), 100.0, True))
+            shared._accept(Taken(Reading((), 6), 101.0, True))
+        assert [each.reading.revision for each in taken] == [7]
+
+    async def test_one_node_reads_for_its_zone(self) -> None:
+        """The first of a zone reads the store, the others ask it; a dead one is passed over."""
+        members = Members(_member("b"))
+        members.update([_member("a"), _member("z", "q")])
+        reader = members.pick_reader()
+        assert reader is not None
+        assert reader.node_id == "a"
+        members.record(reader, answered=False, ready=False, refused=True)
+        assert members.pick_reader() is None
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -177,12 +177,15 @@
 
     :param answers: one for each request; ``{id}`` stands for the request's id. ``None`` closes
         the connection without an answer; ``b"RESET"`` at the end resets it.
+    :param pause: seconds after each part of an answer.
+    :param left: answers during which the other side closed.
     """
 
     answers: list[bytes | None] = field(default_factory=list)
     received: list[Received] = field(default_factory=list)
     address: str = ""
     pause: float = 0.0
+    left: int = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection."""
@@ -209,6 +212,9 @@
             writer.write(piece)
             await writer.drain()
             await asyncio.sleep(self.pause)
+            if reader.at_eof():
+                self.left += 1
+                return False
         if reset:
             await asyncio.sleep(0.05)
             _reset(writer)
--- /dev/null
+++ b/tests/platform/test_programs.py
@@ -0,0 +1,296 @@
+"""Tests of the two programs as processes, against stand-ins on the loopback address."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+import tomli_w
+from aiohttp import ClientError, ClientSession
+
+from .conftest import LOOPBACK, StandinEndpoint, StandinStore, stream_answer, whole_answer
+
+ROOT = Path(__file__).resolve().parents[2]
+KEY = {"Authorization": "Bearer k1"}
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "once",
+            "host": "shop.example",
+            "prefix": "/once/",
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": "plain",
+            "maxAttempts": 1,
+            "public": False,
+        },
+        {
+            "name": "stream",
+            "host": "shop.example",
+            "prefix": "/stream/",
+            "kind": "streaming",
+            "timeoutMs": 5000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": "plain",
+            "maxAttempts": 2,
+            "public": True,
+            "streamResume": True,
+            "gapTargetMs": 2000,
+        },
+    ],
+    "services": [{"name": "plain", "healthPath": "/healthz", "maxConnections": 20}],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1000,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "org1", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def _free_port() -> int:
+    with socket.create_server((LOOPBACK, 0)) as bound:
+        port: int = bound.getsockname()[1]
+        return port
+
+
+def _write_settings(path: Path, store: str, **changes: Any) -> dict[str, Any]:
+    settings: dict[str, Any] = {
+        "name": "entry-1",
+        "ip": LOOPBACK,
+        "place": "z1",
+        "region": "r1",
+        "regions": {"z1": "r1"},
+        "front": f"{LOOPBACK}:{_free_port()}",
+        "readiness": f"{LOOPBACK}:{_free_port()}",
+        "directory": f"{LOOPBACK}:{_free_port()}",
+        "internal_port": _free_port(),
+        "store": store,
+        "bounds": {"grace": 6.0, "revoke": 5.0},
+        **changes,
+    }
+    path.write_text(tomli_w.dumps(settings))
+    return settings
+
+
+async def _start(program: str, path: Path) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "platform" / program),
+        cwd=ROOT,
+        env={**os.environ, "WRENLOFT_NODE_FILE": str(path)},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@dataclass
+class Entry:
+    """A running entry node."""
+
+    process: asyncio.subprocess.Process
+    settings: dict[str, Any]
+    client: ClientSession
+
+    async def ask(self, path: str, **options: Any) -> tuple[int, bytes]:
+        """Send one request to the front."""
+        headers = {"Host": "shop.example", "X-Attempt-Id": "r1", **options.pop("headers", {})}
+        url = f"http://{self.settings['front']}{path}"
+        async with self.client.post(url, headers=headers, **options) as response:
+            return response.status, await response.read()
+
+    async def get_status(self, listener: str, path: str) -> int:
+        """Ask one of the other listeners; 0 if it is not there."""
+        try:
+            async with self.client.get(f"http://{self.settings[listener]}{path}") as response:
+                return response.status
+        except ClientError:
+            return 0
+
+    async def wait_ready(self) -> None:
+        """Wait until callers may be sent here."""
+        async with asyncio.timeout(20):
+            while await self.get_status("readiness", "/readyz") != 200:
+                await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def entry(
+    store: StandinStore, endpoint: StandinEndpoint, tmp_path: Path
+) -> AsyncIterator[Entry]:
+    """Run an entry node with one endpoint."""
+    store.put("op/config", CONFIGURATION)
+    store.put(
+        "servers/i-1",
+        {
+            "service": "plain",
+            "address": endpoint.address,
+            "zone": "z1",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 1,
+        },
+    )
+    path = tmp_path / "settings.toml"
+    settings = _write_settings(path, store.address)
+    process = await _start("entry.py", path)
+    async with ClientSession() as client:
+        running = Entry(process, settings, client)
+        try:
+            await running.wait_ready()
+            yield running
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
+
+
+class TestEntry:
+    """Tests of the entry node's program."""
+
+    async def test_serves_a_request_with_a_key(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """The endpoint gets the organisation's name and never the key."""
+        async with asyncio.timeout(10):
+            while (answer := await entry.ask("/once/x", headers=KEY, data=b"b"))[0] == 503:
+                await asyncio.sleep(0.1)
+        assert answer == (200, b"ok")
+        assert endpoint.received[-1].headers["x-tenant"] == "org1"
+        assert "authorization" not in endpoint.received[-1].headers
+
+    async def test_refuses_what_the_configuration_does_not_allow(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """Unknown route, unknown key and a body beyond the limit get their own answers."""
+        assert (await entry.ask("/none/x", headers=KEY))[0] == 404
+        assert (await entry.ask("/once/x", headers={"Authorization": "Bearer old"}))[0] == 401
+        assert (await entry.ask("/once/x", headers=KEY, data=b"x" * 1001))[0] == 413
+        assert not endpoint.received
+
+    async def test_key_taken_away_is_refused(self, entry: Entry, store: StandinStore) -> None:
+        """A new configuration without a key is in force soon after the store took it."""
+        changed = {**CONFIGURATION, "version": 9, "tenants": [{"name": "org1", "apiKeys": ["k2"]}]}
+        store.put("op/config", changed)
+        async with asyncio.timeout(5):
+            while (await entry.ask("/once/x", headers=KEY))[0] != 401:
+                await asyncio.sleep(0.05)
+
+    async def test_store_that_turns_away_ends_keys_but_not_public_routes(
+        self, entry: Entry, store: StandinStore, endpoint: StandinEndpoint
+    ) -> None:
+        """Without proof that a key is still good, its requests get 503; public ones are served.
+
+        The store refuses this node for longer than a key may outlive its removal.
+        """
+        store.refuse = True
+        async with asyncio.timeout(15):
+            while (await entry.ask("/once/x", headers=KEY))[0] != 503:
+                await asyncio.sleep(0.1)
+        endpoint.answers = [stream_answer(b"id: 0\n\n")]
+        assert (await entry.ask("/stream/x"))[0] == 200
+        assert await entry.get_status("readiness", "/readyz") == 503
+
+    async def test_names_itself_to_callers(self, entry: Entry) -> None:
+        """A caller that asks where to connect gets this node and a time to keep the answer."""
+        url = f"http://{entry.settings['directory']}/resolution?name=x&region=r1&zone=z1"
+        async with entry.client.get(url) as response:
+            answer = await response.json()
+        assert answer["addresses"] == [entry.settings["front"]]
+        assert 0 < answer["ttlS"] <= 5
+
+    async def test_stop_cuts_no_stream(
+        self, entry: Entry, endpoint: StandinEndpoint, store: StandinStore
+    ) -> None:
+        """A stream that runs when the signal comes reaches its caller whole.
+
+        The node is out of the directory and unready at once, and ends by itself.
+        """
+        endpoint.pause = 0.6
+        endpoint.answers = [stream_answer(*(b"id: %d\n\n" % n for n in range(4)))]
+        stream = asyncio.create_task(entry.ask("/stream/x"))
+        async with asyncio.timeout(5):
+            while not endpoint.received:
+                await asyncio.sleep(0.02)
+        entry.process.send_signal(signal.SIGTERM)
+        status, body = await stream
+        assert (status, body.count(b"id: ")) == (200, 4)
+        assert await entry.get_status("readiness", "/readyz") in (0, 503)
+        async with asyncio.timeout(10):
+            assert await entry.process.wait() == 0
+        assert not any(key.startswith("wrenloft/entry/") for key in store.items)
+
+    async def test_caller_that_leaves_ends_the_work(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """The endpoint's connection closes soon after the caller's.
+
+        The stream would have gone on for twenty seconds.
+        """
+        endpoint.pause = 0.2
+        endpoint.answers = [stream_answer(*(b"id: %d\n\n" % n for n in range(100)))]
+        with pytest.raises((TimeoutError, ClientError)):
+            async with asyncio.timeout(1.0):
+                await entry.ask("/stream/x")
+        async with asyncio.timeout(2.0):
+            while not endpoint.left:
+                await asyncio.sleep(0.05)
+
+    async def test_bad_settings_on_reload_change_nothing(
+        self, entry: Entry, tmp_path: Path
+    ) -> None:
+        """A file that became malformed is refused with a log line; the node serves on."""
+        (tmp_path / "settings.toml").write_text("name = ")
+        entry.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        assert await entry.get_status("readiness", "/readyz") == 200
+
+    async def test_logs_one_line_per_decision(self, entry: Entry) -> None:
+        """The outcome of a request can be found in the logs by its id."""
+        await entry.ask("/none/x", headers={"X-Attempt-Id": "find-me"})
+        await asyncio.sleep(0.6)
+        entry.process.kill()
+        out, _ = await entry.process.communicate()
+        lines = [json.loads(line) for line in out.decode().splitlines()]
+        found = [each for each in lines if each.get("request") == "find-me"]
+        assert [each["message"] for each in found] == ["request ended"]
+        assert found[0]["status"] == 404
+
+
+class TestSettings:
+    """Tests of settings that are refused."""
+
+    @pytest.mark.parametrize("program", ["entry.py", "agent.py"])
+    @pytest.mark.parametrize("text", ['name = "a"\n', "internal_port = x", 'internal_port = "x"\n'])
+    async def test_malformed_settings_end_with_a_clear_error(
+        self, tmp_path: Path, program: str, text: str
+    ) -> None:
+        """The program says what is wrong and ends with exit code 2."""
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        process = await _start(program, path)
+        _, error = await process.communicate()
+        assert process.returncode == 2
+        assert str(path) in error.decode()
+        assert "Traceback" not in error.decode()
+
+
+def test_platform_folder_does_not_shadow_the_library() -> None:
+    """A module of the standard library has the folder's name; it must still be found."""
+    import platform
+
+    assert platform.system()
+    assert whole_answer(b"")
