--- a/packages/wrenloft/src/wrenloft/_cli.py
+++ b/packages/wrenloft/src/wrenloft/_cli.py
@@ -17,6 +17,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from wrenloft._explain import describe_event, find_request
 from wrenloft._node import run_node
 from wrenloft._settings import NodeSettings
 from wrenloft.operators import OperatorClient, OperatorError
@@ -308,6 +309,30 @@
         return EXIT_OK
 
 
+class _ExplainRequest(Command):
+    name = "explain-request"
+    description = "Tells from collected logs what became of a request, and why."
+    arguments = [
+        argument("id", "The request's id."),
+        argument("logs", "Log files of any number of processes.", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        lines: list[str] = []
+        for name in self.argument("logs"):
+            try:
+                lines += Path(name).read_text(errors="replace").splitlines()
+            except OSError as error:
+                self.line_error(f"{name}: {error.strerror}")
+                return EXIT_WRONG_INPUT
+        events = find_request(self.argument("id"), lines)
+        for event in events:
+            self.line(describe_event(event))
+        if not events:
+            self.line_error(f"no line about request {self.argument('id')}")
+        return EXIT_OK if events else EXIT_FAULT
+
+
 class _Drain(_OperatorCommand):
     name = "drain"
     description = "Stops an entry node without cutting off a request."
@@ -381,6 +406,7 @@
         _ConfigRollback,
         _Status,
         _Explain,
+        _ExplainRequest,
         _Drain,
         _KeyHash,
         _Manifest,
