Forget old reports of loading; try another endpoint after a failed connection

Cause, from reading the change: an agent's last word that its engine loads held for ever once the agent was gone; and a connection that failed after 0.25 s had used up a stream's aim, so it was refused although other endpoints were idle.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -76,6 +76,18 @@
     sent_since: int = 0
     seen_version: int = 0
 
+    def has_fresh_report(self, now: float) -> bool:
+        """Whether its agent reported lately."""
+        return self.report is not None and now - self.reported_at < REPORT_STALE_SECONDS
+
+    def is_loading(self, now: float) -> bool:
+        """Whether it takes nothing new because it loads weights.
+
+        A report of that counts only while it is fresh: the agent may have died since, and its
+        engine gone on to serve.
+        """
+        return self.has_fresh_report(now) and self.report is not None and self.report.loading
+
     def version_of(self, model: str | None) -> int:
         """Return the newest known version of a model's weights there."""
         listed = self.endpoint.versions.get(model or "", 0)
@@ -195,7 +207,7 @@
         """Return an endpoint's load as the choice reads it."""
         running, waiting, pace = state.own, 0, 1.0
         slots = state.endpoint.slots
-        if state.report is not None and now - state.reported_at < REPORT_STALE_SECONDS:
+        if state.report is not None and state.has_fresh_report(now):
             running, waiting = state.report.running, state.report.waiting
             pace = max(1.0, state.report.pace)
         elif state.header_load is not None and now - state.header_at < HEADER_STALE_SECONDS:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -194,11 +194,14 @@
     async def _place(self, course: _Course) -> Placed | Refused:
         if course.left < _LAST_LEFT:
             return Refused("no time left", 0)
+        # An endpoint that failed used up the aim; the next gets one of its own, since an answer
+        # that comes late is better than a refusal while endpoints have room.
+        untried = course.attempts == 0 and course.not_sent == 0
         ask = Ask(
             service=course.service,
             rank=course.rank,
             prompt_tokens=course.request.prompt_tokens,
-            since=course.request.arrived if course.attempts == 0 else read_clock(),
+            since=course.request.arrived if untried else read_clock(),
             spent=course.spent,
             aim=course.rule.aim,
             deadline=course.deadline,
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -28,6 +28,10 @@
 """Weight of one answer in the running mean: the last 20 answers count most."""
 
 
+_LEAST_WAIT = 0.005
+"""Shortest pause between two looks at the endpoints, in seconds."""
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     """A request that wants an endpoint.
@@ -176,20 +180,18 @@
             if not each.leaving
             and each.endpoint.agent_id not in tried
             and each.full_until <= now
-            and (service.model is None or _serves(each, service.model, required))
+            and (service.model is None or _serves(each, service.model, required, now))
         ]
 
 
-def _serves(state: EndpointState, model: str, required: int) -> bool:
-    if state.report is not None and state.report.loading:
-        return False
-    return state.version_of(model) >= max(1, required)
+def _serves(state: EndpointState, model: str, required: int, now: float) -> bool:
+    return not state.is_loading(now) and state.version_of(model) >= max(1, required)
 
 
 async def _wait(changed: asyncio.Event, ask: Ask) -> None:
-    """Wait for a change, for at most a quarter of what the aim leaves for waiting."""
+    """Wait for a change, or for a moment in which marks of full endpoints may have passed."""
     try:
-        async with asyncio.timeout(max(0.005, ask.aim * 0.03)):
+        async with asyncio.timeout(max(_LEAST_WAIT, ask.aim * HOLD_SHARE / 4)):
             await changed.wait()
     except TimeoutError:
         pass
--- a/packages/wrenloft-routing/tests/test_beliefs.py
+++ b/packages/wrenloft-routing/tests/test_beliefs.py
@@ -104,6 +104,18 @@
         load = endpoints.measure(state, now)
         assert (load.running, load.waiting, load.sent_since) == (2, 1, 3)
 
+    def test_old_report_of_loading_does_not_keep_requests_away(self) -> None:
+        """An agent dies while its engine loads; the engine serves again and gets requests.
+
+        Its last report, that the engine loads, would otherwise hold until the agent is back.
+        """
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a")], trusted=True)
+        state = endpoints.of_service(SERVICE)[0]
+        endpoints.record_report("a:1", EngineReport(0, 0, 1, True, 1.0, 0.1), 100.0)
+        assert state.is_loading(100.1)
+        assert not state.is_loading(105.0)
+
     def test_failures_keep_requests_away_longer_each_time(self) -> None:
         """A flapping endpoint is tried ever less often, up to a bound, and forgiven at once."""
         endpoints = Endpoints(PLACE, REGION)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -1,6 +1,7 @@
 """Tests of one request's way through refusals, losses and repeats."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -421,6 +422,23 @@
         assert bench.sink.body == _events(0)
 
 
+class TestFailedConnections:
+    """Tests of streams whose endpoint can't be reached."""
+
+    async def test_slow_failure_to_connect_is_not_taken_for_overload(self) -> None:
+        """A dark endpoint used up the aim; the others are idle, and the caller is served.
+
+        The connection attempt takes longer than the whole aim.
+        """
+
+        def fail_late() -> NotSent:
+            time.sleep(0.25)
+            return NotSent("timeout")
+
+        bench = Bench(fail_late, FakeReply([_events(0)], is_stream=True))
+        assert isinstance(await bench.ask("stream"), Done)
+
+
 class TestVersions:
     """Tests of requests while weights change."""
 
