--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -64,19 +64,19 @@
 _CONNECT_RETRY_SECONDS = 0.03
 """When a caller should come back whose request was rejected by an endpoint that others replace."""
 
-REQUESTS = Counter("wrenloft_requests", "Requests by outcome", ["kind", "outcome"])
+REQUESTS = Counter("wrenloft_routing_requests", "Requests by outcome", ["kind", "outcome"])
 SECONDS = Histogram(
-    "wrenloft_request_seconds",
+    "wrenloft_routing_request_seconds",
     "Seconds from arrival to the final answer",
     ["kind"],
     buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4),
 )
 FIRST_SECONDS = Histogram(
-    "wrenloft_first_event_seconds",
+    "wrenloft_routing_first_event_seconds",
     "Seconds from arrival to a stream's first event",
     buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.6, 3.2),
 )
-ATTEMPTS = Counter("wrenloft_attempts", "Sendings to endpoints by result", ["result"])
+ATTEMPTS = Counter("wrenloft_routing_attempts", "Sendings to endpoints by result", ["result"])
 
 
 @dataclass(slots=True)
