--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -61,7 +61,8 @@
 }
 
 
-def _free_port() -> int:
+def find_free_port() -> int:
+    """Return a port of the loopback address on which nothing listens."""
     with socket.create_server((LOOPBACK, 0)) as bound:
         port: int = bound.getsockname()[1]
         return port
@@ -74,10 +75,10 @@
         "place": "z1",
         "region": "r1",
         "regions": {"z1": "r1"},
-        "front": f"{LOOPBACK}:{_free_port()}",
-        "readiness": f"{LOOPBACK}:{_free_port()}",
-        "directory": f"{LOOPBACK}:{_free_port()}",
-        "internal_port": _free_port(),
+        "front": f"{LOOPBACK}:{find_free_port()}",
+        "readiness": f"{LOOPBACK}:{find_free_port()}",
+        "directory": f"{LOOPBACK}:{find_free_port()}",
+        "internal_port": find_free_port(),
         "store": store,
         "bounds": {"grace": 6.0, "revoke": 5.0},
         **changes,
@@ -86,7 +87,8 @@
     return settings
 
 
-async def _start(program: str, path: Path) -> asyncio.subprocess.Process:
+async def start_program(program: str, path: Path) -> asyncio.subprocess.Process:
+    """Start a program of ``platform/`` with a settings file."""
     return await asyncio.create_subprocess_exec(
         sys.executable,
         str(ROOT / "platform" / program),
@@ -146,7 +148,7 @@
     )
     path = tmp_path / "settings.toml"
     settings = _write_settings(path, store.address)
-    process = await _start("entry.py", path)
+    process = await start_program("entry.py", path)
     async with ClientSession() as client:
         running = Entry(process, settings, client)
         try:
@@ -233,6 +235,27 @@
             assert await entry.process.wait() == 0
         assert not any(key.startswith("wrenloft/entry/") for key in store.items)
 
+    async def test_late_request_during_a_stop_is_refused_as_not_run(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """A request that could not end within the grace time is not begun.
+
+        It comes on a kept connection three seconds after the signal, while a stream still runs;
+        begun, it would be cut when the process ends.
+        """
+        endpoint.pause = 0.9
+        endpoint.answers = [stream_answer(*(b"id: %d\n\n" % n for n in range(5)))]
+        stream = asyncio.create_task(entry.ask("/stream/x"))
+        host, _, port = entry.settings["front"].partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        entry.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(3.0)
+        writer.write(b"POST /stream/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n")
+        assert b" 503 " in await reader.readline()
+        writer.close()
+        assert (await stream)[0] == 200
+        assert len(endpoint.received) == 1
+
     async def test_caller_that_leaves_ends_the_work(
         self, entry: Entry, endpoint: StandinEndpoint
     ) -> None:
@@ -281,7 +304,7 @@
         """The program says what is wrong and ends with exit code 2."""
         path = tmp_path / "settings.toml"
         path.write_text(text)
-        process = await _start(program, path)
+        process = await start_program(program, path)
         _, error = await process.communicate()
         assert process.returncode == 2
         assert str(path) in error.decode()
