End though nobody reads the logs; give up what would begin on an overdue version

Causes. make demo hung after its last line: entry nodes ended only when their reader had taken all log lines, and nobody read them (traced from a run that hung; test failed first). Ruled out: a late naming (the node insisted in time for new requests). Change: the last wait for a reader is one second; a request whose first event has not come 0.3 s before the deadline of a newer version is given up.

--- a/packages/wrenloft-core/src/wrenloft_core/_logs.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_logs.py
@@ -3,11 +3,13 @@
 import atexit
 import json
 import logging
+import os
 import sys
 import threading
 import time
 from collections import deque
-from typing import Any, TextIO
+from collections.abc import Callable
+from typing import Any
 
 _DECISIONS = logging.getLogger("wrenloft.decisions")
 
@@ -17,6 +19,11 @@
 _BACKLOG_LINES = 4000
 """Lines held for a reader that is slow: ten seconds at the full rate, about 1 MB."""
 
+FLUSH_LIMIT_SECONDS = 1.0
+"""Longest wait for the reader at the end: two pauses of the writer, and time to read 1 MB."""
+
+_FLUSH_POLL_SECONDS = 0.01
+
 _FLUSH_SECONDS = 0.25
 """Pause between two writes; one write for many lines costs a tenth of one write a line."""
 
@@ -55,10 +62,10 @@
     """
 
     def __init__(
-        self, stream: TextIO | None = None, lines_per_second: int = LINES_PER_SECOND
+        self, write: Callable[[bytes], object], lines_per_second: int = LINES_PER_SECOND
     ) -> None:
         super().__init__()
-        self._stream = stream or sys.stdout
+        self._write_bytes = write
         self._rate = lines_per_second
         self._lines: deque[str] = deque()
         self._second = 0
@@ -66,7 +73,7 @@
         self._dropped = 0
         self.dropped = 0
         self._wake = threading.Event()
-        self._writing = threading.Lock()
+        self._writing = False
         threading.Thread(target=self._write, name="logs", daemon=True).start()
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -84,12 +91,21 @@
         self._keep(record)
 
     def flush(self) -> None:
-        """Write what is held, from the calling thread."""
-        with self._writing:
-            lines = [self._lines.popleft() for _ in range(len(self._lines))]
-            if lines:
-                self._stream.write("\n".join(lines) + "\n")
-                self._stream.flush()
+        """Wait until what is held is written, but not for a reader that has stopped.
+
+        Waiting for it at the end of the program kept the process from ending for ever.
+        """
+        self._wake.set()
+        deadline = time.monotonic() + FLUSH_LIMIT_SECONDS
+        while (self._lines or self._writing) and time.monotonic() < deadline:
+            time.sleep(_FLUSH_POLL_SECONDS)
+
+    def _write_lines(self) -> None:
+        self._writing = True
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        if lines:
+            self._write_bytes(("\n".join(lines) + "\n").encode())
+        self._writing = False
 
     def _keep(self, record: logging.LogRecord) -> None:
         self._lines.append(self.format(record))
@@ -111,11 +127,21 @@
             time.sleep(_FLUSH_SECONDS)
             self._wake.clear()
             try:
-                self.flush()
+                self._write_lines()
             except (OSError, ValueError):
                 return  # the reader is gone, and there is nowhere left to say so
 
 
+def _write_to_output(data: bytes) -> None:
+    """Write to standard output past Python's own buffer.
+
+    A thread that is stuck in that buffer holds its lock, which the interpreter wants at its end.
+    """
+    view = memoryview(data)
+    while view:
+        view = view[os.write(sys.stdout.fileno(), view) :]
+
+
 def set_up_logs(
     *, as_json: bool, level: str, lines_per_second: int = LINES_PER_SECOND
 ) -> BoundedHandler:
@@ -123,7 +149,7 @@
 
     :returns: the handler, whose ``dropped`` counts lines lost.
     """
-    handler = BoundedHandler(lines_per_second=lines_per_second)
+    handler = BoundedHandler(_write_to_output, lines_per_second)
     handler.setFormatter(
         _JsonFormatter()
         if as_json
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -57,6 +57,10 @@
 PATIENCE_SLACK = 0.05
 """Difference of patience that is put down to the way here."""
 
+BEGIN_MARGIN_SECONDS = 0.3
+"""Before a version's deadline, by which a request that has not begun is given up: its close reaches
+an endpoint behind chunks of weights in 0.2 s at the worst."""
+
 _LAST_LEFT = 0.03
 """Seconds below which a request is not sent any more: the way there and back takes 8 ms, and a
 plain service works 20 ms on it."""
@@ -95,6 +99,7 @@
     may_have_run: bool = False
     spent: float = 0.0
     prediction: Prediction = Prediction(0.0, 0.0)
+    begin_by: float = float("inf")
     peer: str = ""
     pump: Pump = field(default_factory=Pump)
 
@@ -215,6 +220,8 @@
         state.sent_since += 1
         course.peer = state.endpoint.agent_id
         course.prediction = placed.prediction
+        begin_limit = self._gate.measure_begin_limit(state, course.service)
+        course.begin_by = read_clock() + begin_limit - BEGIN_MARGIN_SECONDS
         self._log_attempt(course, placed)
         started = read_clock()
         try:
@@ -264,6 +271,10 @@
 
     def _silence_limit(self, course: _Course, left: float) -> float:
         """Return how long an endpoint may stay silent before it is given up."""
+        if not course.pump.begun:
+            # A request that waits at a slow endpoint would begin on a version past its deadline;
+            # given up before, its connection closes and the endpoint drops it.
+            left = max(0.0, min(left, course.begin_by - read_clock()))
         if not self._may_repeat(course, course.attempts + 1):
             return left
         return min(left, max(course.rule.aim * _SILENCE_AIMS, left * _SILENCE_SHARE))
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -125,6 +125,16 @@
         ]
         return max(due, default=0)
 
+    def measure_begin_limit(self, state: EndpointState, service: BackendService) -> float:
+        """Return the seconds after which a request may no longer begin at an endpoint.
+
+        Infinite if no version newer than the endpoint's is named.
+        """
+        version = state.version_of(service.model)
+        wanted = self._wanted.get(service.model or "", ())
+        dues = [each.seen_at + self._version_seconds for each in wanted if each.number > version]
+        return min(dues, default=float("inf")) - read_clock()
+
     async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
         """Return an endpoint with room, waiting a moment for one if it must."""
         line = self._waiting.setdefault(ask.service.name, [])
--- a/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -50,8 +50,8 @@
     tried elsewhere, or refused with its own status.
 
     :param first_limit: seconds until the first event.
-    :param resumable: whether a stall may end this endpoint's stream; if not, its silence is
-        borne until the deadline, since nobody else could go on.
+    :param resumable: whether a stall after it may end this endpoint's stream; if not, its silence
+        is borne until the deadline, since nobody else could go on.
     """
     splitter = EventSplitter()
     limit = first_limit
@@ -59,7 +59,7 @@
         left = deadline - read_clock()
         if left <= 0:
             return StreamEnd.DEADLINE
-        wait = min(left, limit) if resumable else left
+        wait = min(left, limit) if resumable or not pump.begun else left
         try:
             async with asyncio.timeout(wait):
                 data = await reply.read_some()
