Read what the stand-in fleet's processes log until they end

Cause: logs go to standard output now, the demo read only the first line, and a pipe whose buffer is full is not seen to end, so waiting for the killed processes never returned (make demo printed its last line and stayed; traced from three such runs). Ruled out: the processes themselves, all of which had ended. After: the demo ends with exit code 0. No test of its own yet.

--- a/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_fleet.py
@@ -15,6 +15,7 @@
 
 _START_SECONDS = 30.0
 _STOP_SECONDS = 30.0
+_READ_BYTES = 65536
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 _USER_TICKS = 11
 _SYSTEM_TICKS = 12
@@ -91,6 +92,7 @@
     folder: Path
     session: ClientSession
     processes: list[Process] = field(default_factory=list)
+    readers: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def start(self, name: str, arguments: Sequence[str]) -> Process:
         """Start a process and wait until it listens.
@@ -116,6 +118,7 @@
             raise RuntimeError(f"{name} did not start: {log.read_text()[-2000:]}")
         process = Process(name, line[1:], handle, log)
         self.processes.append(process)
+        self.readers.append(asyncio.create_task(_keep_output(handle.stdout, log)))
         return process
 
     async def start_standin(self, name: str, kind: str, *arguments: str) -> Process:
@@ -150,6 +153,7 @@
             process.send(signal.SIGCONT)
             process.send(signal.SIGKILL)
         await asyncio.gather(*(each.handle.wait() for each in self.processes))
+        await asyncio.gather(*self.readers)
 
     def _write(self, name: str, settings: Mapping[str, Any]) -> Path:
         path = self.folder / f"{name}.toml"
@@ -157,6 +161,17 @@
         return path
 
 
+async def _keep_output(output: asyncio.StreamReader, log: Path) -> None:
+    """Write a process's logs to its file until it ends.
+
+    Left unread, a full buffer stops the reading of the pipe: its end is never seen, and waiting
+    for the process never returns.
+    """
+    with log.open("ab") as file:
+        while data := await output.read(_READ_BYTES):
+            file.write(data)
+
+
 @asynccontextmanager
 async def open_fleet(folder: Path) -> AsyncIterator[Fleet]:
     """Give an empty fleet, and end all its processes at the end."""
