--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -17,7 +17,24 @@
 )
 from wrenloft_policy._engine import EngineProfile, Prediction, predict_first_event
 from wrenloft_policy._entries import EntryNode, choose_entries
-from wrenloft_policy._fetching import ChunkSource, Pick, choose_fetch, list_feeders, rank_turn
+from wrenloft_policy._fetching import (
+    FEEDERS,
+    ChunkSource,
+    Pick,
+    choose_fetch,
+    list_feeders,
+    rank_turn,
+)
+from wrenloft_policy._layers import (
+    EVERY_LAYER,
+    ChainPart,
+    LayerHolder,
+    LayerSpan,
+    complete_chain,
+    list_span_chunks,
+    pick_part,
+    split_layers,
+)
 from wrenloft_policy._ownership import Lease, choose_owner, rank_owners
 from wrenloft_policy._placement import Host, Placed, choose_hosts, matches
 from wrenloft_policy._queue import FairQueue, Ticket, estimate_wait
@@ -32,12 +49,24 @@
     estimate_load,
 )
 from wrenloft_policy._swarm import Permit, Source, choose_chunk, grant_permits, pick_neighbours
-from wrenloft_policy._versions import WantedVersion, choose_version, must_insist
+from wrenloft_policy._versions import (
+    LINK_SHARE,
+    SWAP_GROUPS,
+    WantedVersion,
+    choose_version,
+    must_insist,
+    pick_swap_time,
+)
 
 __all__ = [
     "AIM_SHARE_MOST",
+    "EVERY_LAYER",
+    "FEEDERS",
     "HOLD_SHARE",
+    "LINK_SHARE",
+    "SWAP_GROUPS",
     "Candidate",
+    "ChainPart",
     "Choice",
     "Chosen",
     "ChunkSource",
@@ -48,6 +77,8 @@
     "EntryNode",
     "FairQueue",
     "Host",
+    "LayerHolder",
+    "LayerSpan",
     "Lease",
     "Permit",
     "Pick",
@@ -73,6 +104,7 @@
     "choose_random",
     "choose_runner",
     "choose_version",
+    "complete_chain",
     "count_seconds",
     "decide_turn",
     "divide_limits",
@@ -80,13 +112,17 @@
     "estimate_wait",
     "grant_permits",
     "list_feeders",
+    "list_span_chunks",
     "matches",
     "must_insist",
     "pick_backoff",
     "pick_neighbours",
+    "pick_part",
     "pick_return",
+    "pick_swap_time",
     "predict_answer",
     "predict_first_event",
     "rank_owners",
     "rank_turn",
+    "split_layers",
 ]
--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -1,6 +1,6 @@
 """Which chunk an agent fetches next, and from whom, without an owner who tells it."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -46,18 +46,20 @@
 def rank_turn(chunk: int, members: Sequence[str], waited: float) -> str:
     """Return whose turn it is to bring a chunk over, among members in a common order.
 
+    :param may_cross: tells whether a chunk may be brought over already.
     :param waited: seconds for which the chunk could have been had.
     """
     return members[(chunk + int(waited / CROSSING_SECONDS)) % len(members)]
 
 
-def list_feeders(members: Sequence[str], age: float) -> list[str]:
+def list_feeders(members: Sequence[str], age: float, count: int = FEEDERS) -> list[str]:
     """Return the agents that may fetch from the origin now, spread over the common order.
 
     :param members: agents that could, best those of the origin's region: a chunk that enters
         another region first crosses to the origin's region a second time.
+    :param count: how many.
     """
-    count = min(FEEDERS, len(members))
+    count = min(count, len(members))
     skip = int(age / TURN_SECONDS)
     return [
         members[(index * len(members) // count + skip) % len(members)] for index in range(count)
@@ -68,12 +70,13 @@
     missing: Sequence[int],
     sources: Sequence[ChunkSource],
     own_address: str,
-    region_members: Sequence[str],
-    origin_members: Sequence[str],
+    list_carriers: Callable[[int], Sequence[str]],
+    list_feeders: Callable[[int], Sequence[str]],
+    may_cross: Callable[[int], bool],
     waited: Mapping[int, float],
-    age: float,
     idle: float,
     origin_free: bool,
+    origin_repeats: bool,
     random: Random,
     busy_limit: int,
 ) -> Pick | None:
@@ -87,29 +90,40 @@
     between regions, more than once.
 
     :param missing: chunks neither held nor being fetched.
-    :param region_members: agents of this region that fetch the version, this one included.
-    :param origin_members: agents among which the origin's turns go, in the same order everywhere.
+    :param list_carriers: returns the agents of this region among which a chunk's turns to cross
+        go, in the same order everywhere.
+    :param list_feeders: returns the agents that may fetch a chunk from the origin now.
     :param waited: seconds for which each chunk has been held elsewhere.
-    :param age: seconds since the transfer began.
     :param idle: seconds since a chunk last came.
     :param origin_free: whether another fetch from the origin may start.
+    :param origin_repeats: whether that may be a chunk that others hold, but fewer than half of
+        them. The uplinks of the origin's region carry every chunk to the other regions besides
+        their own, and bind; an agent that joins finds enough holders without the origin.
     """
     counts = {chunk: sum(each.held >> chunk & 1 for each in sources) for chunk in missing}
     near_held = _join_masks(each for each in sources if each.near)
     impatient = idle > IDLE_PATIENCE
     if origin_free:
         unheld = [chunk for chunk in missing if not counts[chunk]]
-        feeders = list_feeders(origin_members, age)
-        mine = [chunk for chunk in unheld if feeders[chunk % len(feeders)] == own_address]
+        mine = [
+            chunk for chunk in unheld if _pick_feeder(chunk, list_feeders(chunk)) == own_address
+        ]
         if mine or (impatient and unheld):
             return Pick(random.choice(mine or unheld), None)
+        rare = [chunk for chunk in missing if counts[chunk] < len(sources) / 2]
+        if origin_repeats and rare and not unheld:
+            return Pick(min(rare, key=lambda each: (counts[each], random.random())), None)
     far = [each for each in sources if not each.near and each.busy < busy_limit]
     crossing = [
         chunk
         for chunk in missing
         if counts[chunk]
         and not near_held >> chunk & 1
-        and (impatient or rank_turn(chunk, region_members, waited.get(chunk, 0.0)) == own_address)
+        and may_cross(chunk)
+        and (
+            impatient
+            or rank_turn(chunk, list_carriers(chunk), waited.get(chunk, 0.0)) == own_address
+        )
     ]
     near = [each for each in sources if each.near and each.busy < busy_limit]
     found = _pick_from(crossing, far, counts, random) or _pick_from(missing, near, counts, random)
@@ -118,6 +132,10 @@
     return found
 
 
+def _pick_feeder(chunk: int, feeders: Sequence[str]) -> str:
+    return feeders[chunk % len(feeders)]
+
+
 def _join_masks(sources: Iterable[ChunkSource]) -> int:
     mask = 0
     for source in sources:
--- /dev/null
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_layers.py
@@ -0,0 +1,99 @@
+"""Parts of a model: which layers an engine loads first, and engines that together hold all."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+PARTS = 2
+"""Parts into which a model is split for its first load. A host's link takes 5.2 s for a whole
+version and 2.6 s for half of one, which is also what the origin's link needs to give out one copy:
+more parts would wait for the origin."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class LayerSpan:
+    """Consecutive layers of a model; ``stop`` is not among them."""
+
+    start: int
+    stop: int
+
+    def holds(self, other: "LayerSpan") -> bool:
+        """Tell whether every layer of another span is in this one."""
+        return self.start <= other.start and other.stop <= self.stop
+
+
+EVERY_LAYER = LayerSpan(0, 1 << 30)
+"""All layers of a model whose number of layers is not stated."""
+
+
+@dataclass(frozen=True, slots=True)
+class LayerHolder:
+    """An engine that holds some layers of one version.
+
+    :param key: what tells it from the others.
+    :param distance: 0 in the availability zone of the chain's first engine, 1 in its region, 2
+        beyond.
+    :param busy: requests in progress that were sent through it as a later part.
+    """
+
+    key: str
+    span: LayerSpan
+    distance: int = 0
+    busy: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ChainPart:
+    """The layers that one engine of a chain works on."""
+
+    key: str
+    span: LayerSpan
+
+
+def split_layers(layers: int) -> list[LayerSpan]:
+    """Return the parts of a model, in order; one part if it cannot be split."""
+    parts = min(PARTS, max(1, layers))
+    bounds = [layers * index // parts for index in range(parts + 1)]
+    return [LayerSpan(bounds[index], bounds[index + 1]) for index in range(parts)]
+
+
+def pick_part(own: str, members: Sequence[str], parts: int) -> int:
+    """Return which part a member loads first: neighbours in the common order take turns."""
+    return sorted(members).index(own) % parts
+
+
+def list_span_chunks(span: LayerSpan, layers: int, chunks: int) -> range:
+    """Return the chunks that a span of layers needs; neighbouring spans may share one."""
+    if span.holds(LayerSpan(0, layers)):
+        return range(chunks)
+    return range(span.start * chunks // layers, -(-span.stop * chunks // layers))
+
+
+def complete_chain(
+    first: LayerHolder, others: Sequence[LayerHolder], layers: int, random: Random
+) -> list[ChainPart] | None:
+    """Return engines that run every layer once and in order, beginning with ``first``.
+
+    Each next engine is the nearest that has the next layer, of these the one that goes on
+    furthest, and then the least busy: a token crosses between the engines at every step, so the
+    way counts more than their load.
+
+    :returns: ``None`` if some layer is held by nobody.
+    """
+    if first.span.start > 0:
+        return None
+    chain = [ChainPart(first.key, LayerSpan(0, min(first.span.stop, layers)))]
+    while (at := chain[-1].span.stop) < layers:
+        used = {each.key for each in chain}
+        able = [
+            each
+            for each in others
+            if each.key not in used and each.span.start <= at < each.span.stop
+        ]
+        if not able:
+            return None
+        best = min(
+            able, key=lambda each: (each.distance, -each.span.stop, each.busy, random.random())
+        )
+        chain.append(ChainPart(best.key, LayerSpan(at, min(best.span.stop, layers))))
+    return chain
--- a/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-LINK_SHARE = 0.8
+LINK_SHARE = 0.82
 """Part of a link's rate that chunks reach: what agents send is paced at that."""
 
 START_SECONDS = 0.8
@@ -11,9 +11,21 @@
 INSTALL_SECONDS = 0.8
 """From the last chunk until the engine serves: staging, reading back, the end of its streams."""
 
-BEGIN_SECONDS = 0.8
+BEGIN_SECONDS = 0.5
 """Time that a request may take from this node until it begins at an endpoint: it is sent only if
-its first event is predicted within half a second."""
+its first event is predicted within half a second, and given up if it has not begun in time."""
+
+
+SWAP_GROUPS = 2
+"""Groups of engines that go on to a new version one after the other."""
+
+SWAP_GAP_SECONDS = 1.2
+"""Between two groups. An engine takes nothing new from its order until its last stream has ended
+and its layers are loaded: 0.4 to 1.5 s at half load, read off a calm day's reports."""
+
+SWAP_LATEST_SECONDS = 2.6
+"""Before the deadline, by which every engine is ordered: a stream may run for 1.5 s more, and
+requests insist on the new version 0.8 s before the deadline."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,3 +68,17 @@
 def must_insist(wanted: WantedVersion, allowed: float, now: float) -> bool:
     """Tell whether requests may begin on this version only."""
     return now >= wanted.seen_at + allowed - BEGIN_SECONDS
+
+
+def pick_swap_time(group: int, ready_at: float, named_at: float, allowed: float) -> float:
+    """Return when an engine that serves an older version is ordered to go on to a new one.
+
+    Answers a new version under load: ordered as soon as each is ready, all engines stop taking
+    requests within the same second, and callers find none.
+
+    :param group: 0 for the engines that go first.
+    :param ready_at: when the first part of the version was staged.
+    :param allowed: seconds from the naming until requests begin on the new version only.
+    """
+    latest = named_at + allowed - SWAP_LATEST_SECONDS
+    return max(ready_at, min(ready_at + group * SWAP_GAP_SECONDS, latest))
--- a/packages/wrenloft-policy/tests/test_fetching.py
+++ b/packages/wrenloft-policy/tests/test_fetching.py
@@ -16,17 +16,20 @@
     waited: float = 0.0,
     idle: float = 0.0,
     origin: list[str] | None = None,
+    crosses: bool = True,
+    repeats: bool = False,
 ) -> tuple[int, str | None] | None:
     pick = choose_fetch(
         missing,
         sources,
         own,
-        NEAR,
-        origin if origin is not None else [own],
+        lambda _: NEAR,
+        lambda _: origin if origin is not None else [own],
+        lambda _: crosses,
         dict.fromkeys(missing, waited),
-        0.0,
         idle,
         True,
+        repeats,
         Random(1),
         2,
     )
@@ -69,6 +72,21 @@
         assert _choose([], [0], own=NEAR[1], origin=[NEAR[0]]) is None
         assert _choose([], [0], own=NEAR[1], origin=[NEAR[0]], idle=1.5) == (0, None)
 
+    def test_origin_gives_a_rare_chunk_twice(self) -> None:
+        """Once all chunks have left the origin, its idle link relieves its region's uplinks."""
+        sources = [
+            ChunkSource(NEAR[1], 0b11, 0, near=True),
+            ChunkSource("10.1.0.3:1", 0b01, 0, near=True),
+            ChunkSource("10.1.0.4:1", 0b01, 0, near=True),
+        ]
+        assert _choose(sources, [0, 1], repeats=True) == (1, None)
+        assert _choose(sources, [0], repeats=True) != (0, None)
+
+    def test_chunk_waits_for_the_region_that_relays_it(self) -> None:
+        """What another region is to bring nearer is not fetched from the origin's region yet."""
+        sources = [ChunkSource(FAR[0], 0b1, 0, near=False)]
+        assert _choose(sources, [0], own=NEAR[0], crosses=False) is None
+
 
 class TestListFeeders:
     """Tests for ``list_feeders``."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -1,6 +1,7 @@
 """Routing of callers' requests straight to endpoints, free of any wire format."""
 
 from wrenloft_routing._budget import SharedBudget
+from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoint, Endpoints, EndpointState, EngineReport
 from wrenloft_routing._events import Event, EventSplitter
 from wrenloft_routing._exchange import (
@@ -44,6 +45,7 @@
 __all__ = [
     "FAR_PING_SECONDS",
     "NEAR_PING_SECONDS",
+    "Able",
     "AnswerSink",
     "Ask",
     "Attempt",
@@ -52,6 +54,7 @@
     "Caller",
     "CallerLimits",
     "CallerRequest",
+    "ChainStage",
     "CurrencyProof",
     "Endpoint",
     "EndpointState",
@@ -88,6 +91,7 @@
     "StreamEnd",
     "Taken",
     "Target",
+    "list_able",
     "pick_target",
     "ping_forever",
     "pump_stream",
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_chains.py
@@ -0,0 +1,108 @@
+"""Engines that can take a request now: alone, or in a chain that together holds every layer."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from wrenloft_core import AgentId
+from wrenloft_policy import ChainPart, LayerHolder, LayerSpan, complete_chain
+from wrenloft_routing._endpoints import EndpointState, HeldWeights
+from wrenloft_routing._table import BackendService
+
+
+@dataclass(frozen=True, slots=True)
+class ChainStage:
+    """One engine of a chain and the layers that a request runs there."""
+
+    state: EndpointState
+    span: LayerSpan
+
+
+@dataclass(frozen=True, slots=True)
+class Able:
+    """An endpoint that can take a request.
+
+    :param version: the version on which the request would begin, 0 for a plain service.
+    :param chain: all engines that it would go through, empty if the first one suffices.
+    """
+
+    state: EndpointState
+    version: int = 0
+    chain: tuple[ChainStage, ...] = ()
+
+
+def list_able(
+    service: BackendService,
+    states: Sequence[EndpointState],
+    required: int,
+    now: float,
+    random: Random,
+) -> list[Able]:
+    """Return the endpoints that can take a request of a service.
+
+    Chains that cross regions are named only if nothing else can take it: a token crosses at
+    every step.
+
+    :param states: endpoints that are not kept out for another reason.
+    :param required: the oldest version on which a request may begin.
+    """
+    if service.model is None:
+        return [Able(each) for each in states]
+    held = {each.endpoint.agent_id: each.weights_of(service.model, now) for each in states}
+    serving = [
+        each for each in states if _is_serving(held[each.endpoint.agent_id], max(1, required))
+    ]
+    able: list[Able] = []
+    far: list[Able] = []
+    for state in serving:
+        weights = held[state.endpoint.agent_id]
+        whole = weights.span is not None and weights.span.holds(LayerSpan(0, service.layers))
+        if whole:
+            able.append(Able(state, weights.version))
+            continue
+        peers = [each for each in serving if _has_version(held, each, weights.version)]
+        chain = _find_chain(service, state, peers, held, random)
+        if chain:
+            crosses = any(_measure_distance(state, each.state) > 1 for each in chain)
+            (far if crosses else able).append(Able(state, weights.version, chain))
+    return able or far
+
+
+def _is_serving(weights: HeldWeights, least: int) -> bool:
+    return weights.span is not None and weights.version >= least
+
+
+def _has_version(held: Mapping[AgentId, HeldWeights], state: EndpointState, version: int) -> bool:
+    """Chains of two versions would mix their weights in one token."""
+    return held[state.endpoint.agent_id].version == version
+
+
+def _find_chain(
+    service: BackendService,
+    first: EndpointState,
+    peers: Sequence[EndpointState],
+    held: Mapping[AgentId, HeldWeights],
+    random: Random,
+) -> tuple[ChainStage, ...]:
+    holders: dict[str, LayerHolder] = {}
+    states: dict[str, EndpointState] = {}
+    for each in peers:
+        span = held[each.endpoint.agent_id].span
+        if span is not None:
+            key = each.endpoint.agent_id
+            distance = _measure_distance(first, each)
+            holders[key] = LayerHolder(key, span, distance, each.later_parts)
+            states[key] = each
+    own = holders.pop(first.endpoint.agent_id)
+    parts = complete_chain(own, list(holders.values()), service.layers, random)
+    return tuple(_build_stage(each, states) for each in parts or ())
+
+
+def _build_stage(part: ChainPart, states: dict[str, EndpointState]) -> ChainStage:
+    return ChainStage(states[part.key], part.span)
+
+
+def _measure_distance(one: EndpointState, other: EndpointState) -> int:
+    if one.endpoint.place == other.endpoint.place:
+        return 0
+    return 1 if one.endpoint.region == other.endpoint.region else 2
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from wrenloft_core import AgentId, PlaceName, RegionName, ServiceName, note, read_clock
-from wrenloft_policy import EndpointLoad
+from wrenloft_policy import EVERY_LAYER, EndpointLoad, LayerSpan
 
 _LOG = logging.getLogger(__name__)
 
@@ -31,6 +31,7 @@
     """One incarnation of an endpoint, as the list names it.
 
     :param versions: version of each model that it serves.
+    :param span: the layers that it holds, ``None`` if it holds none.
     """
 
     agent_id: AgentId
@@ -41,6 +42,7 @@
     slots: int
     leaving: bool = False
     versions: dict[str, int] = field(default_factory=dict)
+    span: LayerSpan | None = EVERY_LAYER
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +50,8 @@
     """What an agent reports of its own engine.
 
     :param version: of the model's weights in service, 0 if there are none.
-    :param loading: whether an order is in progress, during which nothing new is taken.
+    :param loading: whether an order is in progress.
+    :param span: the layers of that version in service, ``None`` while it takes nothing new.
     """
 
     running: int
@@ -57,11 +60,24 @@
     loading: bool
     pace: float
     memory_share: float
+    span: LayerSpan | None = EVERY_LAYER
+
+
+@dataclass(frozen=True, slots=True)
+class HeldWeights:
+    """What an engine can work with; version 0 and no layers if nothing."""
+
+    version: int
+    span: LayerSpan | None
 
 
 @dataclass(slots=True)
 class EndpointState:
-    """An endpoint and what this node knows of it beyond the list."""
+    """An endpoint and what this node knows of it beyond the list.
+
+    :param own: requests in progress that this node sent to it.
+    :param later_parts: requests in progress of this node that go through it after another engine.
+    """
 
     endpoint: Endpoint
     leaving: bool = False
@@ -74,25 +90,25 @@
     header_load: tuple[int, int, int] | None = None
     header_at: float = 0.0
     sent_since: int = 0
-    seen_version: int = 0
+    later_parts: int = 0
 
     def has_fresh_report(self, now: float) -> bool:
         """Whether its agent reported lately."""
         return self.report is not None and now - self.reported_at < REPORT_STALE_SECONDS
 
-    def is_loading(self, now: float) -> bool:
-        """Whether it takes nothing new because it loads weights.
+    def weights_of(self, model: str, now: float) -> HeldWeights:
+        """Return what it holds of a model.
 
-        A report of that counts only while it is fresh: the agent may have died since, and its
-        engine gone on to serve.
+        A fresh report goes before the list, which is seconds behind: an engine that gives up a
+        version for the next one is still listed with it. A stale one does not, since its agent
+        may have died while the engine went on.
         """
-        return self.has_fresh_report(now) and self.report is not None and self.report.loading
-
-    def version_of(self, model: str | None) -> int:
-        """Return the newest known version of a model's weights there."""
-        listed = self.endpoint.versions.get(model or "", 0)
-        reported = self.report.version if self.report is not None else 0
-        return max(listed, reported, self.seen_version)
+        listed = self.endpoint.versions.get(model, 0)
+        report = self.report
+        fresh = report is not None and self.has_fresh_report(now)
+        if report is not None and fresh and (report.version == 0 or report.version >= listed):
+            return HeldWeights(report.version, report.span)
+        return HeldWeights(listed, self.endpoint.span)
 
 
 class Endpoints:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from wrenloft_core import OrganisationName, RequestId
+from wrenloft_routing._chains import ChainStage
 from wrenloft_routing._endpoints import Endpoint
 
 Headers = tuple[tuple[str, str], ...]
@@ -44,6 +45,7 @@
     :param left: seconds that the endpoint may take.
     :param organisation: whose key the caller has, ``None`` if the rule needs none.
     :param version: the only version of weights on which it may run, ``None`` for any.
+    :param chain: the engines that it goes through, empty if the endpoint alone suffices.
     """
 
     request: CallerRequest
@@ -52,6 +54,7 @@
     organisation: OrganisationName | None
     version: int | None
     last_event: int | None
+    chain: tuple[ChainStage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,11 +69,13 @@
     """The endpoint said that the request did not run.
 
     :param mistaken: whether it is not the endpoint, or not the version, that was meant.
+    :param address: of the engine of a chain at which it failed, ``None`` for the first.
     """
 
     reason: str
     mistaken: bool
     load: tuple[int, int, int] | None = None
+    address: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +98,6 @@
     status: int
     headers: Headers
     load: tuple[int, int, int] | None
-    version: int | None
     genuine: bool
     is_stream: bool
     leaving: bool
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -218,6 +218,8 @@
         state = placed.state
         state.own += 1
         state.sent_since += 1
+        for stage in placed.chain[1:]:
+            stage.state.later_parts += 1
         course.peer = state.endpoint.agent_id
         course.prediction = placed.prediction
         begin_limit = self._gate.measure_begin_limit(state, course.service)
@@ -230,6 +232,8 @@
                 return await self._take_reply(course, state, result, sink, started)
         finally:
             state.own -= 1
+            for stage in placed.chain[1:]:
+                stage.state.later_parts -= 1
             self._endpoints.notify()
         ATTEMPTS.labels(type(result).__name__).inc()
         note(
@@ -260,7 +264,8 @@
             left=left,
             organisation=course.organisation,
             version=placed.version,
-            last_event=course.pump.last if course.pump.last is not None else None,
+            last_event=course.pump.last,
+            chain=placed.chain,
         )
         try:
             async with asyncio.timeout(self._silence_limit(course, left)):
@@ -296,10 +301,12 @@
     ) -> Outcome | None:
         """A rejected request has not run, so it may go elsewhere if the budget allows."""
         now = read_clock()
-        state.full_until = now + FULL_SECONDS
         self._endpoints.record_header(state, result.load, now)
-        if result.mistaken:
-            self._endpoints.record_failure(state, now)
+        at_fault = self._endpoints.find_address(result.address) if result.address else [state]
+        for each in at_fault:
+            each.full_until = now + FULL_SECONDS
+            if result.mistaken:
+                self._endpoints.record_failure(each, now)
         allowed = course.attempts < course.rule.max_attempts
         if allowed and self._budget.spend(course.service.name, now):
             return None
@@ -335,8 +342,6 @@
         course.attempts += 1
         now = read_clock()
         self._endpoints.record_header(state, reply.load, now)
-        if reply.version is not None:
-            state.seen_version = max(state.seen_version, reply.version)
         try:
             if not reply.genuine:
                 return self._drop_reply(course, state, "answer is not this request's")
@@ -464,6 +469,7 @@
             proof_age_ms=round(min(self._proof.age, 99.0) * 1000),
             left_ms=round(course.left * 1000),
             version=placed.version,
+            chain=[each.state.endpoint.agent_id for each in placed.chain],
             resumed_after=course.pump.last,
         )
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -18,6 +18,7 @@
     decide_turn,
     must_insist,
 )
+from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoints, EndpointState
 from wrenloft_routing._table import BackendService
 
@@ -63,12 +64,14 @@
 
     :param version: the only version on which the request may begin there, ``None`` for any. The
         endpoint checks it: what this node knows of its version may be old.
+    :param chain: the engines that it goes through, empty if the endpoint alone suffices.
     """
 
     state: EndpointState
     prediction: Prediction
     candidates: int
     version: int | None
+    chain: tuple[ChainStage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,10 +133,13 @@
 
         Infinite if no version newer than the endpoint's is named.
         """
-        version = state.version_of(service.model)
-        wanted = self._wanted.get(service.model or "", ())
+        if service.model is None:
+            return float("inf")
+        now = read_clock()
+        version = state.weights_of(service.model, now).version
+        wanted = self._wanted.get(service.model, ())
         dues = [each.seen_at + self._version_seconds for each in wanted if each.number > version]
-        return min(dues, default=float("inf")) - read_clock()
+        return min(dues, default=float("inf")) - now
 
     async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
         """Return an endpoint with room, waiting a moment for one if it must."""
@@ -152,7 +158,7 @@
     def _decide(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused | None:
         now = read_clock()
         able = self._list_able(ask.service, tried, now)
-        loads = [self._endpoints.measure(each, now) for each in able]
+        loads = [self._endpoints.measure(each.state, now) for each in able]
         work = self._work.get(ask.service.name, WORK_SECONDS)
         choice = choose_endpoint(loads, ask.service.engine, ask.prompt_tokens, work, self._random)
         urgent = any(each.order < ask.order for each in self._waiting[ask.service.name])
@@ -169,10 +175,12 @@
             aim_share=self._aim_shares.get(ask.service.name, AIM_SHARE_MOST),
         )
         if verdict is Verdict.SEND and choice is not None:
-            state = next(each for each in able if each.endpoint.agent_id == choice.key)
-            required = self.required_version(ask.service, now)
-            version = state.version_of(ask.service.model) if required else None
-            return Placed(state, choice.prediction, len(able), version)
+            chosen = next(each for each in able if each.state.endpoint.agent_id == choice.key)
+            # Engines of a chain are told the version as well: one that has just gone on to the
+            # next version would otherwise run its layers of that.
+            insisted = self.required_version(ask.service, now) or chosen.chain
+            version = chosen.version if insisted else None
+            return Placed(chosen.state, choice.prediction, len(able), version, chosen.chain)
         if verdict is Verdict.REFUSE:
             known = len(self._endpoints.of_service(ask.service.name))
             if choice is None:
@@ -182,20 +190,14 @@
 
     def _list_able(
         self, service: BackendService, tried: Collection[AgentId], now: float
-    ) -> list[EndpointState]:
-        required = self.required_version(service, now)
-        return [
+    ) -> list[Able]:
+        states = [
             each
             for each in self._endpoints.of_service(service.name)
-            if not each.leaving
-            and each.endpoint.agent_id not in tried
-            and each.full_until <= now
-            and (service.model is None or _serves(each, service.model, required, now))
+            if not each.leaving and each.endpoint.agent_id not in tried and each.full_until <= now
         ]
-
-
-def _serves(state: EndpointState, model: str, required: int, now: float) -> bool:
-    return not state.is_loading(now) and state.version_of(model) >= max(1, required)
+        required = self.required_version(service, now)
+        return list_able(service, states, required, now, self._random)
 
 
 async def _wait(changed: asyncio.Event, ask: Ask) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, web
 
 from wrenloft_core import RegionName, note, read_clock
+from wrenloft_policy import LayerSpan
 from wrenloft_routing._endpoints import Endpoints, EngineReport
 from wrenloft_routing._members import Member, Members
 
@@ -127,4 +128,7 @@
 
 
 def _read_report(fields: dict[str, Any]) -> EngineReport:
-    return EngineReport(**{name: fields[name] for name in EngineReport.__slots__})
+    known = {name: fields[name] for name in EngineReport.__slots__}
+    span = fields["span"]
+    known["span"] = LayerSpan(span["start"], span["stop"]) if span is not None else None
+    return EngineReport(**known)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_table.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_table.py
@@ -77,6 +77,7 @@
 
     :param model: what its engines run, ``None`` for a plain service.
     :param chunk_count: chunks of one version of its weights.
+    :param layers: layers of the model, 1 if they are not stated: it is then loaded whole.
     """
 
     name: ServiceName
@@ -85,6 +86,7 @@
     model: ModelName | None = None
     chunk_count: int = 0
     chunk_bytes: int = 0
+    layers: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wrenloft-routing/tests/test_beliefs.py
+++ b/packages/wrenloft-routing/tests/test_beliefs.py
@@ -16,6 +16,7 @@
     ServiceName,
     read_clock,
 )
+from wrenloft_policy import EVERY_LAYER
 from wrenloft_routing import (
     CurrencyProof,
     Endpoint,
@@ -110,11 +111,22 @@
         Its last report, that the engine loads, would otherwise hold until the agent is back.
         """
         endpoints = Endpoints(PLACE, REGION)
-        endpoints.update([_endpoint("a")], trusted=True)
+        endpoints.update([_endpoint("a", versions={"m": 1})], trusted=True)
+        state = endpoints.of_service(SERVICE)[0]
+        endpoints.record_report("a:1", EngineReport(0, 0, 1, True, 1.0, 0.1, None), 100.0)
+        assert state.weights_of("m", 100.1).span is None
+        assert state.weights_of("m", 105.0).span == EVERY_LAYER
+
+    def test_engine_that_gave_up_a_version_is_not_used_because_of_the_list(self) -> None:
+        """An engine drops one version for the next; the list still names the old one.
+
+        Requests sent by the list would be rejected, and count against the budget.
+        """
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a", versions={"m": 1})], trusted=True)
         state = endpoints.of_service(SERVICE)[0]
-        endpoints.record_report("a:1", EngineReport(0, 0, 1, True, 1.0, 0.1), 100.0)
-        assert state.is_loading(100.1)
-        assert not state.is_loading(105.0)
+        endpoints.record_report("a:1", EngineReport(0, 0, 0, True, 1.0, 0.1, None), 100.0)
+        assert state.weights_of("m", 100.1).span is None
 
     def test_failures_keep_requests_away_longer_each_time(self) -> None:
         """A flapping endpoint is tried ever less often, up to a bound, and forgiven at once."""
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_holdings.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_holdings.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 import logging
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from wrenloft_core import IntegrityError, ModelName, note
@@ -69,9 +69,10 @@
             self.changed.set()
             self.changed = asyncio.Event()
 
-    def missing(self) -> list[int]:
-        """Return the numbers of the chunks not held."""
-        return [each for each in range(len(self.digests)) if each not in self._chunks]
+    def missing(self, wanted: Iterable[int] | None = None) -> list[int]:
+        """Return the numbers of the chunks not held, of all or of those wanted."""
+        among = range(len(self.digests)) if wanted is None else wanted
+        return [each for each in among if each not in self._chunks]
 
 
 class Holdings:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
@@ -9,7 +9,7 @@
 
 from wrenloft_core import PlatformUnavailableError, read_clock
 from wrenloft_swarm._holdings import VersionName
-from wrenloft_swarm._ports import Neighbour, Wave
+from wrenloft_swarm._ports import Neighbour, Urgency
 
 CONNECT_SECONDS = 1.0
 """Longest wait for a connection; its packets queue behind four chunks, 0.2 s, at either end."""
@@ -97,13 +97,13 @@
 
 
 async def fetch_chunk(
-    session: ClientSession, address: str, name: VersionName, chunk: int, wave: Wave
+    session: ClientSession, address: str, name: VersionName, chunk: int, urgency: Urgency
 ) -> bytes:
     """Fetch one chunk from a neighbour, unchecked.
 
     :raises PlatformUnavailableError: if it does not come whole and in time.
     """
-    url = f"http://{address}/chunks/{name.model}/{name.number}/{chunk}?wave={wave.value}"
+    url = f"http://{address}/chunks/{name.model}/{name.number}/{chunk}?urgency={urgency.value}"
     return await _read(session, url, CHUNK_SECONDS, "fetch-from-neighbour", address)
 
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
+from wrenloft_policy import EVERY_LAYER, LayerSpan
 from wrenloft_swarm._holdings import VersionName
 
 
@@ -13,6 +14,7 @@
 
     :param version: version in service, 0 if none.
     :param loading: whether an order is in progress.
+    :param span: the layers of that version in service, ``None`` if there are none.
     :param sequence: orders accepted since its start.
     """
 
@@ -23,13 +25,20 @@
     pace: float
     memory_share: float
     sequence: int
+    span: LayerSpan | None = EVERY_LAYER
 
+    def holds(self, number: int, span: LayerSpan) -> bool:
+        """Tell whether layers of a version, or of a newer one, are in service."""
+        if self.version != number:
+            return self.version > number
+        return self.span is not None and self.span.holds(span)
 
-class Wave(Enum):
-    """Whether an agent is among those served first."""
 
-    FIRST = "first"
-    SECOND = "second"
+class Urgency(Enum):
+    """What a chunk is fetched for."""
+
+    FIRST_PART = "first"
+    REST = "rest"
 
 
 class OrderResult(Enum):
@@ -55,8 +64,8 @@
     async def stage(self, name: VersionName, chunk: int, data: bytes) -> None:
         """Stage one chunk, over whatever lies there."""
 
-    async def order(self, name: VersionName) -> OrderResult:
-        """Order it to load what is staged."""
+    async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
+        """Order it to load layers from what is staged."""
 
 
 class WeightsOrigin(Protocol):
@@ -81,3 +90,4 @@
     address: str
     near: bool
     at_origin: bool = True
+    region: str = ""
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -9,7 +9,7 @@
 
 from wrenloft_core import ModelName, Pacer, read_clock
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
-from wrenloft_swarm._ports import EngineState, Wave
+from wrenloft_swarm._ports import EngineState, Urgency
 
 REPORT_SECONDS = 0.1
 """Least time between two reports to an entry node; an engine ends a pass about as often."""
@@ -24,17 +24,19 @@
 POSSESSION_SECONDS = 0.1
 """Least time between two messages of what is held; about two chunks arrive meanwhile."""
 
-UPLOADS = 5
-"""Chunks sent at once. Each takes 54 ms of the link alone; with eight, reports and new connections
-queued half a second behind them, and connections to this agent timed out."""
+UPLOADS = 2
+"""Chunks sent at once. Sent one after the other, a chunk is whole at the next agent, and can be
+passed on, after 60 to 120 ms; five at once took 300 ms each."""
 
-SECOND_WAVE_UPLOADS = 2
-"""Of these, chunks for agents of the second wave. Sent to alike, all engines have a version at the
-same moment, and all stop taking requests at once to load it. Two of five is a choice; its gain
-has not been measured alone."""
+UPLOADS_WAITING = 4
+"""Chunks asked for that wait for their turn, so that the link does not rest between two. A further
+one is refused, and asked of another neighbour."""
 
+REST_WAITING = 2
+"""The same for agents that are not served first; they take what the others leave."""
 
-UPLOAD_SHARE = 0.8
+
+UPLOAD_SHARE = 0.82
 """Part of the link that chunks sent to others may use. The engine's streams leave by the same
 link: at full rate they queued behind chunks, and over half of them came later than their caller's
 bound on the way from the engine."""
@@ -44,13 +46,25 @@
 
 
 class LatestState:
-    """The engine's last report, and a signal when there is a newer one."""
+    """The engine's last report, and a signal when there is a newer one.
+
+    ``yielding`` is set while requests are kept away from an engine that still serves, because it
+    is about to go on to another version.
+    """
 
     def __init__(self) -> None:
         self.state: EngineState | None = None
         self.at = 0.0
+        self.yielding = False
         self.changed = asyncio.Event()
 
+    def set_yielding(self, yielding: bool) -> None:
+        """Tell entry nodes that the engine takes nothing new, or that it does again."""
+        if yielding != self.yielding:
+            self.yielding = yielding
+            self.changed.set()
+            self.changed = asyncio.Event()
+
     def set(self, state: EngineState | None) -> None:
         """Take a report, or none if the engine did not answer."""
         differs = state != self.state
@@ -85,7 +99,7 @@
         self._latest = latest
         self._is_stopping = is_stopping
         self._uploads = 0
-        self._second_wave = 0
+        self._slots = asyncio.Semaphore(UPLOADS)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes."""
@@ -106,6 +120,8 @@
             if (state := self._latest.state) is not None:
                 fields = asdict(state)
                 del fields["sequence"]
+                if self._latest.yielding:
+                    fields["span"] = None
                 await response.write(json.dumps(fields).encode() + b"\n")
             await asyncio.sleep(pause)
             await _wait(changed, REPORT_IDLE_SECONDS - pause)
@@ -138,16 +154,15 @@
         data = holding.get(_read_integer(request, "chunk"))
         if data is None:
             raise web.HTTPNotFound
-        second = request.query.get("wave") == Wave.SECOND.value
-        if self._uploads >= UPLOADS or (second and self._second_wave >= SECOND_WAVE_UPLOADS):
+        rest = request.query.get("urgency") == Urgency.REST.value
+        if self._uploads >= UPLOADS + (REST_WAITING if rest else UPLOADS_WAITING):
             raise web.HTTPTooManyRequests
         self._uploads += 1
-        self._second_wave += second
         try:
-            return await self._send_paced(request, data)
+            async with self._slots:
+                return await self._send_paced(request, data)
         finally:
             self._uploads -= 1
-            self._second_wave -= second
 
     async def _send_paced(self, request: web.Request, data: bytes) -> web.StreamResponse:
         response = web.StreamResponse()
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_settings.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_settings.py
@@ -15,6 +15,7 @@
     :param store: address of the platform's store.
     :param link_rate: bits a second of this host's link.
     :param grace: seconds from the signal to stop until the process is killed.
+    :param version: seconds from naming a version until requests begin on it only.
     :param log_lines: lines a second logged at most.
     """
 
@@ -29,5 +30,6 @@
     store: str
     link_rate: float
     grace: float = 8.0
+    version: float = 8.0
     log_lines: int = 200
     log_level: str = "info"
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 from aiohttp import ClientSession
@@ -10,6 +10,7 @@
 
 from wrenloft_core import IntegrityError, PlatformUnavailableError, note, read_clock, warn
 from wrenloft_policy import ChunkSource, Pick, choose_fetch
+from wrenloft_swarm._duties import Duties
 from wrenloft_swarm._holdings import Holding
 from wrenloft_swarm._neighbours import (
     BUSY_SECONDS,
@@ -18,7 +19,7 @@
     Possessions,
     fetch_chunk,
 )
-from wrenloft_swarm._ports import Neighbour, Wave, WeightsOrigin
+from wrenloft_swarm._ports import Neighbour, Urgency, WeightsOrigin
 
 _LOG = logging.getLogger(__name__)
 
@@ -29,17 +30,22 @@
 SOURCE_FETCHES = 2
 """Chunks asked of one neighbour at once, so that the load spreads."""
 
-ORIGIN_FETCHES = 2
-"""Chunks that a feeder asks of the origin at once: two of its five fetches, so that four feeders
-fill the origin's link although neighbours use theirs too."""
+ORIGIN_FETCHES = 1
+"""Chunks that a feeder asks of the origin at once. Four feeders keep its link full; with two each,
+a chunk took twice as long to arrive, and nobody can pass on what has not arrived."""
+
+ORIGIN_COPIES = 2.0
+"""Copies of a version that may leave the origin, about. All agents' uplinks together bind: with one
+copy from the origin they carry 13 copies for 14 hosts, and the origin's link rests after 2.6 s."""
+
+RELAY_SECONDS = 0.8
+"""How long a chunk is waited for in the region that takes it from the origin's first: its way there
+takes 0.2 to 0.4 s."""
 
 HEAR_SECONDS = 0.25
 """Time for neighbours to say what they hold: a connection across regions takes 8 ms, behind chunks
 of another version up to 0.2 s."""
 
-LEAST_FEEDERS = 3
-"""Agents of the origin's region that suffice to use up the origin's link, twice a host's."""
-
 PROGRESS_SECONDS = 1.0
 """Between two log lines on a transfer."""
 
@@ -50,17 +56,6 @@
 SPOILT = Counter("wrenloft_agent_swarm_spoilt", "Chunks whose digest differed", ["source"])
 
 
-def list_origin_members(own: Neighbour, others: Sequence[Neighbour]) -> list[str]:
-    """Return the agents that take turns at the origin, in an order that is the same everywhere.
-
-    Those of the origin's region, unless too few of them are left to use up its link.
-    """
-    everyone = [own, *others]
-    local = [each for each in everyone if each.at_origin]
-    chosen = local if len(local) >= LEAST_FEEDERS else everyone
-    return sorted(each.address for each in chosen)
-
-
 def _describe_source(followed: Followed, now: float) -> ChunkSource:
     """Return a neighbour as the choice reads it.
 
@@ -73,10 +68,14 @@
 
 
 class SwarmTransfer:
-    """One version on its way here.
+    """Chunks of one version on their way here.
 
     :param neighbours: returns the other agents as now known.
     :param own: this agent as neighbours know it.
+    :param wanted: the chunks to fetch.
+    :param urgency: what they are fetched for.
+    :param parts: into how many parts the version is split for its first load.
+    :param on_kept: awaited with each chunk that was kept, and its bytes.
     """
 
     def __init__(
@@ -87,7 +86,16 @@
         neighbours: Callable[[], list[Neighbour]],
         own: Neighbour,
         random: Random,
+        *,
+        wanted: range | None = None,
+        urgency: Urgency = Urgency.FIRST_PART,
+        parts: int = 1,
+        on_kept: Callable[[int, bytes], Awaitable[None]] | None = None,
     ) -> None:
+        self._wanted = range(len(holding.digests)) if wanted is None else wanted
+        self._urgency = urgency
+        self._parts = parts
+        self._on_kept = on_kept
         self._holding = holding
         self._session = session
         self._origin = origin
@@ -98,6 +106,7 @@
         self._possessions = Possessions(holding.name, session, self._wake)
         self._in_flight: set[int] = set()
         self._from_origin = 0
+        self._repeated = 0
         self._origin_after = 0.0
         self._begun_at = self._received_at = read_clock()
         self._noted_at = 0.0
@@ -106,11 +115,11 @@
         self.spoilt: dict[int, int] = {}
 
     async def run(self) -> None:
-        """Fetch until every chunk is held."""
+        """Fetch until every chunk that is wanted is held."""
         begun = self._begun_at
         try:
             async with asyncio.TaskGroup() as group:
-                while not self._holding.whole:
+                while self._holding.missing(self._wanted):
                     self._note_progress(begun)
                     self._possessions.update(self._neighbours())
                     self._start_fetches(group)
@@ -119,9 +128,12 @@
             await self._possessions.close()
         note(
             _LOG,
-            "version whole",
+            "chunks fetched",
             model=self._holding.name.model,
             version=self._holding.name.number,
+            wanted=len(self._wanted),
+            held=self._holding.held,
+            sources=self._counts,
             ms=round((read_clock() - begun) * 1000),
         )
 
@@ -162,34 +174,31 @@
             # Counted before the task runs: the next choice of this loop must see it.
             if pick.address is None:
                 self._from_origin += 1
+                self._repeated += pick.chunk in self._seen_at
             else:
                 self._possessions.known[pick.address].busy += 1
             group.create_task(self._fetch(pick))
 
     def _choose(self) -> Pick | None:
         now = read_clock()
-        missing = [each for each in self._holding.missing() if each not in self._in_flight]
+        missing = [
+            each for each in self._holding.missing(self._wanted) if each not in self._in_flight
+        ]
         usable = [each for each in self._possessions.known.values() if each.connected]
         # Those not yet connected count: alone in its own view, each agent would take every turn.
-        known = self._possessions.known.values()
-        fetching = [each for each in known if not self._is_whole(each)]
-        near = sorted(
-            [
-                self._own.address,
-                *(each.neighbour.address for each in fetching if each.neighbour.near),
-            ]
-        )
-        origin_members = list_origin_members(self._own, [each.neighbour for each in fetching])
+        known = [each.neighbour for each in self._possessions.known.values()]
+        duties = Duties(self._own, known, self._parts, len(self._holding.digests))
         return choose_fetch(
             missing,
             [_describe_source(each, now) for each in usable],
             self._own.address,
-            sorted([self._own.address, *near]),
-            origin_members,
+            duties.list_carriers,
+            lambda chunk: duties.list_feeders(chunk, now - self._begun_at),
+            lambda chunk: self._may_cross(chunk, duties, now),
             self._measure_waits(missing, now),
-            now - self._begun_at,
             now - self._received_at,
             self._may_ask_origin(now),
+            self._may_repeat_origin(duties),
             self._random,
             SOURCE_FETCHES,
         )
@@ -204,6 +213,25 @@
         heard = all(each.connected for each in known) or now - self._begun_at > HEAR_SECONDS
         return heard and self._from_origin < ORIGIN_FETCHES and now >= self._origin_after
 
+    def _may_cross(self, chunk: int, duties: Duties, now: float) -> bool:
+        """Tell whether a chunk may be brought over from another region already.
+
+        Each chunk has one region that takes it from the origin's; the others wait a moment to take
+        it from there. The origin's region alone would carry every chunk to each other region.
+        """
+        if duties.is_first_region(chunk) or now - self._seen_at.get(chunk, now) > RELAY_SECONDS:
+            return True
+        return any(
+            each.held >> chunk & 1 and not each.neighbour.at_origin
+            for each in self._possessions.known.values()
+        )
+
+    def _may_repeat_origin(self, duties: Duties) -> bool:
+        """Tell whether the origin may be asked for a chunk that others hold already."""
+        share = (ORIGIN_COPIES - 1.0) / max(1, duties.count_at_origin())
+        most = share * len(self._holding.digests)
+        return self._own.at_origin and self._repeated + 1 <= most
+
     def _measure_waits(self, missing: Sequence[int], now: float) -> dict[int, float]:
         """Return for how long each missing chunk has been known to be held by somebody."""
         held = 0
@@ -214,16 +242,6 @@
                 self._seen_at.setdefault(chunk, now)
         return {chunk: now - at for chunk, at in self._seen_at.items()}
 
-    def _pick_wave(self) -> Wave:
-        """Return the wave of this agent: every other one of its region is in the first."""
-        known = self._possessions.known.values()
-        near = [each.neighbour.address for each in known if each.neighbour.near]
-        index = sorted([self._own.address, *near]).index(self._own.address)
-        return Wave.SECOND if index % 2 else Wave.FIRST
-
-    def _is_whole(self, followed: Followed) -> bool:
-        return followed.held.bit_count() >= len(self._holding.digests)
-
     async def _fetch(self, pick: Pick) -> None:
         followed = self._possessions.known.get(pick.address or "")
         try:
@@ -243,9 +261,9 @@
         address = followed.neighbour.address
         try:
             data = await fetch_chunk(
-                self._session, address, self._holding.name, chunk, self._pick_wave()
+                self._session, address, self._holding.name, chunk, self._urgency
             )
-            self._keep(chunk, data, "near" if followed.neighbour.near else "far", address)
+            await self._keep(chunk, data, "near" if followed.neighbour.near else "far", address)
             followed.failures = 0
         except IntegrityError as error:
             self._note_spoilt(chunk, "agent", error)
@@ -259,18 +277,20 @@
     async def _fetch_from_origin(self, chunk: int) -> None:
         try:
             data = await self._origin.fetch_chunk(self._holding.name, chunk)
-            self._keep(chunk, data, "origin", "origin")
+            await self._keep(chunk, data, "origin", "origin")
         except IntegrityError as error:
             self._note_spoilt(chunk, "origin", error)
         except PlatformUnavailableError as error:
             note(_LOG, "chunk not had", chunk=chunk, reason=str(error))
             self._origin_after = read_clock() + self._random.uniform(0.5, 1.5) * _ORIGIN_PAUSE
 
-    def _keep(self, chunk: int, data: bytes, source: str, peer: str) -> None:
+    async def _keep(self, chunk: int, data: bytes, source: str, peer: str) -> None:
         self._holding.add(chunk, data, peer)
         self._received_at = read_clock()
         self._counts[source] += 1
         FETCHED.labels(source).inc(len(data))
+        if self._on_kept is not None:
+            await self._on_kept(chunk, data)
 
     def _note_spoilt(self, chunk: int, source: str, error: IntegrityError) -> None:
         SPOILT.labels(source).inc()
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -10,18 +10,29 @@
 from aiohttp import ClientSession
 
 from wrenloft_core import ModelName, PlatformUnavailableError, note, read_clock, warn
-from wrenloft_policy import WantedVersion, choose_version, list_feeders
-from wrenloft_swarm._holdings import Holding, Holdings, VersionName
+from wrenloft_policy import (
+    LINK_SHARE,
+    SWAP_GROUPS,
+    LayerSpan,
+    WantedVersion,
+    choose_version,
+    list_span_chunks,
+    pick_swap_time,
+    split_layers,
+)
+from wrenloft_swarm._duties import Duties
+from wrenloft_swarm._holdings import KEPT_VERSIONS, Holding, Holdings, VersionName
 from wrenloft_swarm._neighbours import fetch_digests
 from wrenloft_swarm._ports import (
     Engine,
     EngineState,
     Neighbour,
     OrderResult,
+    Urgency,
     WeightsOrigin,
 )
 from wrenloft_swarm._server import LatestState
-from wrenloft_swarm._transfer import SwarmTransfer, list_origin_members
+from wrenloft_swarm._transfer import SwarmTransfer
 
 T = TypeVar("T")
 
@@ -41,12 +52,17 @@
 SPOILT_LIMIT = 3
 """Times a chunk may come spoilt before its digest is doubted: the list may be what is wrong."""
 
+YIELD_SECONDS = 0.8
+"""Before a version is whole, from when requests are kept away from an engine that serves an older
+one: half of its streams end in that time, and the entry nodes learn of it within 0.1 to 0.25 s."""
+
 _RETRY_SECONDS = 0.2
 _STAGE_AT_ONCE = 4
 """Staged chunks written or read at once; they cross no link."""
 
 _SETTLE_SECONDS = 1.0
-"""How long an engine may report an older version after its order before it is ordered again."""
+"""How long an engine may report neither loading nor what it was ordered to load, before it is
+ordered again: it has crashed, or the order was lost."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +72,9 @@
     :param own: this agent as neighbours know it.
     :param link_rate: bytes a second of this host's link.
     :param chunk_bytes: bytes of one chunk.
+    :param layers: layers of the model.
+    :param version_seconds: from naming a version until requests begin on it only.
+    :param is_cold: tells whether no engine of the service is known to hold any weights.
     """
 
     engine: Engine
@@ -68,6 +87,32 @@
     link_rate: float
     chunk_bytes: int
     random: Random
+    layers: int = 1
+    version_seconds: float = 8.0
+    is_cold: Callable[[], bool] = lambda: False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """How an engine loads a version.
+
+    :param first: the layers that it fetches first, and serves with other engines if it must.
+    :param parts: into how many parts the version is split.
+    :param group: when it goes on to the version, 0 for the engines that go first.
+    """
+
+    first: LayerSpan
+    parts: int
+    group: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadStep:
+    """Layers of a version that the engine should load now."""
+
+    holding: Holding
+    span: LayerSpan
+    wanted: WantedVersion
 
 
 class Upkeep:
@@ -76,15 +121,19 @@
     def __init__(self, model: ModelName, means: Means) -> None:
         self._model = model
         self._means = means
-        self._newest = WantedVersion(1, read_clock())
+        self._wanted = [WantedVersion(1, read_clock())]
         self._current = self._newest
         self._named = asyncio.Event()
-        self._ordered: tuple[int, float] | None = None
+        self._plan = LoadPlan(LayerSpan(0, means.layers), 1, 0)
+
+    @property
+    def _newest(self) -> WantedVersion:
+        return self._wanted[-1]
 
     def name_version(self, number: int) -> None:
         """Take a version that operators named; older ones than the newest change nothing."""
         if number > self._newest.number:
-            self._newest = WantedVersion(number, read_clock())
+            self._wanted = [*self._wanted[1 - KEPT_VERSIONS :], WantedVersion(number, read_clock())]
             note(_LOG, "weights named", model=self._model, version=number)
             self._named.set()
 
@@ -103,32 +152,33 @@
             await asyncio.sleep(REPORT_SECONDS)
 
     async def run(self) -> None:
-        """Work towards the newest version until cancelled."""
+        """Fetch and load until cancelled.
+
+        Two tasks: the next version is fetched while the engine still goes on to the one before,
+        which takes as long as its streams run.
+        """
         await self._recover_staged()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._keep_fetching())
+            group.create_task(self._keep_loading())
+
+    async def _keep_fetching(self) -> None:
         while True:
-            state = self._means.latest.state
-            target = self._newest
-            if state is None or self._is_settled(state, target):
+            self._current = self._newest
+            name = VersionName(self._model, self._current.number)
+            holding = self._means.holdings.get(name)
+            if self._is_in_service(name) or (holding is not None and not holding.missing()):
                 await self._rest()
                 continue
-            self._current = target
             try:
-                await self._bring(VersionName(self._model, target.number))
+                await self._fetch_version(name)
             except PlatformUnavailableError as error:
-                note(_LOG, "version not brought", version=target.number, reason=str(error))
+                note(_LOG, "version not had", version=name.number, reason=str(error))
                 await asyncio.sleep(_RETRY_SECONDS)
 
-    def _is_settled(self, state: EngineState, target: WantedVersion) -> bool:
-        if state.version >= target.number:
-            self._ordered = None
-            return True
-        if state.loading:
-            holding = self._means.holdings.get(VersionName(self._model, target.number))
-            return holding is not None and holding.whole
-        ordered = self._ordered
-        if ordered is None or ordered[0] != target.number:
-            return False
-        return read_clock() - ordered[1] < _SETTLE_SECONDS
+    def _is_in_service(self, name: VersionName) -> bool:
+        state = self._means.latest.state
+        return state is not None and state.holds(name.number, LayerSpan(0, self._means.layers))
 
     async def _rest(self) -> None:
         try:
@@ -138,6 +188,58 @@
             pass
         self._named.clear()
 
+    async def _keep_loading(self) -> None:
+        while True:
+            state = self._means.latest.state
+            self._means.latest.set_yielding(state is not None and self._is_about_to_load(state))
+            try:
+                step = None if state is None else self._choose_load(state)
+                if step is not None:
+                    await self._load(step)
+            except PlatformUnavailableError as error:
+                note(_LOG, "version not loaded", reason=str(error))
+            await asyncio.sleep(REPORT_SECONDS)
+
+    def _choose_load(self, state: EngineState) -> LoadStep | None:
+        """Return what the engine should be ordered to load now, if anything.
+
+        The newest version that is held whole. Part of a version only if callers would find
+        nothing else: engines in a chain take about half of the requests that they take whole.
+        """
+        if state.loading:
+            return None
+        everything = LayerSpan(0, self._means.layers)
+        for wanted in reversed(self._wanted):
+            if state.holds(wanted.number, everything):
+                return None
+            holding = self._means.holdings.get(VersionName(self._model, wanted.number))
+            if holding is None:
+                continue
+            if not holding.missing():
+                return LoadStep(holding, everything, wanted)
+            first = self._plan.first
+            held = not holding.missing(self._list_chunks(first, holding))
+            if held and state.span is None and self._means.is_cold():
+                return LoadStep(holding, first, wanted)
+        return None
+
+    def _is_about_to_load(self, state: EngineState) -> bool:
+        """Tell whether a version will be whole about when the engine's streams have ended.
+
+        An engine takes nothing new from its order until its last stream has ended, 0.4 to 1.5 s.
+        Kept away before, requests go to the engines that are not there yet.
+        """
+        if state.span is None:
+            return False
+        holding = self._means.holdings.get(VersionName(self._model, self._current.number))
+        if holding is None or state.version >= holding.name.number:
+            return False
+        chunk_seconds = self._means.chunk_bytes / (self._means.link_rate * LINK_SHARE)
+        return len(holding.missing()) * chunk_seconds < YIELD_SECONDS
+
+    def _list_chunks(self, span: LayerSpan, holding: Holding) -> range:
+        return list_span_chunks(span, self._means.layers, len(holding.digests))
+
     async def _recover_staged(self) -> None:
         """Take what already lies staged beside the engine, so that neighbours can have it.
 
@@ -196,8 +298,8 @@
         return self._means.own.address in self._list_feeders()
 
     def _list_feeders(self) -> list[str]:
-        members = list_origin_members(self._means.own, self._means.neighbours())
-        return list_feeders(members, 0.0)
+        duties = Duties(self._means.own, self._means.neighbours(), parts=1, chunks=1)
+        return duties.list_feeders(0, 0.0)
 
     async def _ask_neighbours(self, name: VersionName) -> tuple[str, ...] | None:
         """Ask a few neighbours, feeders first, for a version's digests."""
@@ -212,16 +314,37 @@
                 continue  # the next may have them, and the caller says so if none has
         return None
 
-    async def _bring(self, name: VersionName) -> None:
-        """Fetch a version whole, stage it and order the engine to load it."""
+    async def _fetch_version(self, name: VersionName) -> None:
+        """Fetch a version; if nothing serves, first the chunks that its first part needs."""
         holding = await self._open(name)
-        if not holding.whole and not await self._fetch(holding):
-            return
-        await self._stage_whole(holding)
-        await self._order(holding)
-
-    async def _fetch(self, holding: Holding) -> bool:
-        """Fetch until whole; ``False`` if a newer version took its place."""
+        self._plan = plan = self._make_plan()
+        if plan.parts > 1:
+            wanted = self._list_chunks(plan.first, holding)
+            if not await self._fetch(holding, wanted, Urgency.FIRST_PART):
+                return
+        urgent = plan.parts == 1 and plan.group == 0
+        urgency = Urgency.FIRST_PART if urgent else Urgency.REST
+        await self._fetch(holding, range(len(holding.digests)), urgency)
+
+    def _is_due(self, wanted: WantedVersion, state: EngineState, name: VersionName) -> bool:
+        """Tell whether a version older than ``name`` is held whole and still to be loaded."""
+        holding = self._means.holdings.get(VersionName(self._model, wanted.number))
+        older = state.version < wanted.number < name.number
+        return older and holding is not None and not holding.missing()
+
+    def _make_plan(self) -> LoadPlan:
+        """Split the version among the agents known now if no engine serves; else take it whole."""
+        means = self._means
+        addresses = sorted([means.own.address, *(each.address for each in means.neighbours())])
+        split = means.is_cold() and len(addresses) > 1
+        parts = split_layers(means.layers if split else 1)
+        if len(parts) == 1:
+            parts = [LayerSpan(0, means.layers)]
+        index = addresses.index(means.own.address)
+        return LoadPlan(parts[index % len(parts)], len(parts), index % SWAP_GROUPS)
+
+    async def _fetch(self, holding: Holding, wanted: range, urgency: Urgency) -> bool:
+        """Fetch until all that is wanted is held; ``False`` if a newer version took its place."""
         means = self._means
         transfer = SwarmTransfer(
             holding,
@@ -230,6 +353,10 @@
             means.neighbours,
             means.own,
             means.random,
+            wanted=wanted,
+            urgency=urgency,
+            parts=self._plan.parts,
+            on_kept=lambda chunk, data: self._stage_early(holding.name, chunk, data),
         )
         task = asyncio.create_task(transfer.run())
         try:
@@ -247,6 +374,22 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
+    async def _stage_early(self, name: VersionName, chunk: int, data: bytes) -> None:
+        """Stage a chunk on its arrival, unless an older version is still to be loaded.
+
+        The engine has one place for a model's chunks, and loads what lies there when it accepts
+        the order.
+        """
+        state = self._means.latest.state
+        if state is None or state.loading:
+            return
+        if any(self._is_due(each, state, name) for each in self._wanted):
+            return
+        try:
+            await self._means.engine.stage(name, chunk, data)
+        except PlatformUnavailableError as error:
+            note(_LOG, "chunk not staged yet", chunk=chunk, reason=str(error))
+
     def _should_switch(self, holding: Holding) -> bool:
         if self._newest.number <= holding.name.number:
             return False
@@ -266,9 +409,6 @@
             if data is not None and fresh.is_own(chunk, data):
                 fresh.add(chunk, data, "own")
 
-    async def _stage_whole(self, holding: Holding) -> None:
-        await _run_limited([self._stage(holding, each) for each in range(len(holding.digests))])
-
     async def _stage(self, holding: Holding, chunk: int) -> None:
         """Stage a chunk unless it lies there already, and read it back.
 
@@ -284,32 +424,62 @@
         data = await self._means.engine.read_staged(holding.name, chunk)
         return data is not None and holding.is_own(chunk, data)
 
-    async def _verify(self, holding: Holding) -> None:
-        """Read every staged chunk back, and stage those again that differ."""
-        chunks = range(len(holding.digests))
-        sound = await _run_limited([self._is_staged(holding, each) for each in chunks])
-        spoilt = [chunk for chunk, good in zip(chunks, sound, strict=True) if not good]
+    async def _verify(self, holding: Holding, wanted: range) -> None:
+        """Read staged chunks back, and stage those again that differ."""
+        sound = await _run_limited([self._is_staged(holding, each) for each in wanted])
+        spoilt = [chunk for chunk, good in zip(wanted, sound, strict=True) if not good]
         if spoilt:
-            warn(_LOG, "staged chunks spoilt", version=holding.name.number, chunks=spoilt)
+            note(
+                _LOG,
+                "staged chunks missing or spoilt",
+                version=holding.name.number,
+                count=len(spoilt),
+            )
             await _run_limited([self._stage(holding, each) for each in spoilt])
-            await self._verify(holding)
+            await self._verify(holding, wanted)
+
+    async def _load(self, step: LoadStep) -> None:
+        """Stage, check and order what was chosen, and wait until the engine has loaded it."""
+        wanted = self._list_chunks(step.span, step.holding)
+        await self._verify(step.holding, wanted)
+        state = self._means.latest.state
+        if state is not None and state.span is not None and state.version < step.wanted.number:
+            await self._await_turn(step.wanted)
+            await self._verify(step.holding, wanted)
+        number = step.wanted.number
+        result = await self._means.engine.order(step.holding.name, step.span)
+        note(
+            _LOG,
+            "engine ordered",
+            version=number,
+            first_layer=step.span.start,
+            stop_layer=step.span.stop,
+            result=result.value,
+        )
+        if result is OrderResult.ACCEPTED:
+            await self._await_loaded(number, step.span)
 
-    async def _order(self, holding: Holding) -> None:
-        number = holding.name.number
-        while True:
+    async def _await_turn(self, wanted: WantedVersion) -> None:
+        """Wait until this engine's group goes on to the version."""
+        now = read_clock()
+        seconds = self._means.version_seconds
+        at = pick_swap_time(self._plan.group, now, wanted.seen_at, seconds)
+        await asyncio.sleep(at - now)
+
+    async def _await_loaded(self, number: int, span: LayerSpan) -> None:
+        """Wait until the engine reports what it was ordered to load.
+
+        Its report is 0.2 s old: for a moment it still shows the time before the order.
+        """
+        idle_since = read_clock()
+        while read_clock() - idle_since < _SETTLE_SECONDS:
             state = self._means.latest.state
-            if state is None or state.version >= number:
-                return
-            if self._newest.number > number and state.loading:
+            if state is not None and state.holds(number, span):
                 return
-            if not state.loading:
-                await self._verify(holding)
-                result = await self._means.engine.order(holding.name)
-                note(_LOG, "engine ordered", version=number, result=result.value)
-                if result is OrderResult.ACCEPTED:
-                    self._ordered = (number, read_clock())
-                    return
+            if state is not None and state.loading:
+                idle_since = read_clock()
             await asyncio.sleep(ORDER_RETRY_SECONDS)
+        warn(_LOG, "order without effect", version=number, stop_layer=span.stop)
 
 
 async def _run_limited(calls: Sequence[Coroutine[Any, Any, T]]) -> list[T]:
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -11,6 +11,7 @@
 from aiohttp import ClientSession, web
 
 from wrenloft_core import IntegrityError, ModelName, Pacer, PlatformUnavailableError
+from wrenloft_policy import LayerSpan
 from wrenloft_swarm import (
     EngineState,
     Holding,
@@ -76,6 +77,7 @@
     loaded: list[tuple[int, bool]] = field(default_factory=list)
     rot: set[int] = field(default_factory=set)
     busy: int = 0
+    spans: list[LayerSpan] = field(default_factory=list)
 
     async def report(self) -> EngineState:
         return EngineState(0, 0, self.version, False, 1.0, 0.0, len(self.loaded))
@@ -92,12 +94,13 @@
             data = b"rotten"
         self.staged[chunk] = data
 
-    async def order(self, name: VersionName) -> OrderResult:
+    async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
         if self.busy > 0:
             self.busy -= 1
             return OrderResult.BUSY
         whole = [self.staged.get(each) for each in range(COUNT)] == _chunks(name.number)
         self.loaded.append((name.number, whole))
+        self.spans.append(span)
         self.version = name.number
         return OrderResult.ACCEPTED
 
