Let other agents of the origin's region fetch what their late neighbours have not

Cause: after a loss of power 11 of 96 chunks waited 1.5 s for a dead or late agent's turn at the origin to pass on (any_held 85 in the agents' progress lines), and no chain of engines could form without them.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -46,6 +46,8 @@
 def rank_turn(chunk: int, members: Sequence[str], waited: float) -> str:
     """Return whose turn it is to bring a chunk over, among members in a common order.
 
+    :param may_help: tells whether this agent may fetch a chunk from the origin out of turn, because
+        the agents whose turn it is are late.
     :param may_cross: tells whether a chunk may be brought over already.
     :param waited: seconds for which the chunk could have been had.
     """
@@ -72,6 +74,7 @@
     own_address: str,
     list_carriers: Callable[[int], Sequence[str]],
     list_feeders: Callable[[int], Sequence[str]],
+    may_help: Callable[[int], bool],
     may_cross: Callable[[int], bool],
     waited: Mapping[int, float],
     idle: float,
@@ -110,6 +113,9 @@
         ]
         if mine or (impatient and unheld):
             return Pick(random.choice(mine or unheld), None)
+        late = [chunk for chunk in unheld if may_help(chunk)]
+        if late:
+            return Pick(random.choice(late), None)
         rare = [chunk for chunk in missing if counts[chunk] < len(sources) / 2]
         if origin_repeats and rare and not unheld:
             return Pick(min(rare, key=lambda each: (counts[each], random.random())), None)
--- a/packages/wrenloft-policy/tests/test_fetching.py
+++ b/packages/wrenloft-policy/tests/test_fetching.py
@@ -16,6 +16,7 @@
     waited: float = 0.0,
     idle: float = 0.0,
     origin: list[str] | None = None,
+    helps: bool = False,
     crosses: bool = True,
     repeats: bool = False,
 ) -> tuple[int, str | None] | None:
@@ -25,6 +26,7 @@
         own,
         lambda _: NEAR,
         lambda _: origin if origin is not None else [own],
+        lambda _: helps,
         lambda _: crosses,
         dict.fromkeys(missing, waited),
         idle,
@@ -82,6 +84,11 @@
         assert _choose(sources, [0, 1], repeats=True) == (1, None)
         assert _choose(sources, [0], repeats=True) != (0, None)
 
+    def test_late_feeder_is_helped(self) -> None:
+        """A feeder that is dead or slow keeps nobody from the chunks whose turn is its own."""
+        assert _choose([], [0], own=NEAR[1], origin=[NEAR[0]]) is None
+        assert _choose([], [0], own=NEAR[1], origin=[NEAR[0]], helps=True) == (0, None)
+
     def test_chunk_waits_for_the_region_that_relays_it(self) -> None:
         """What another region is to bring nearer is not fetched from the origin's region yet."""
         sources = [ChunkSource(FAR[0], 0b1, 0, near=False)]
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
@@ -30,6 +30,7 @@
         at_origin = [each for each in everyone if each.at_origin]
         if len(at_origin) < LEAST_AT_ORIGIN:
             at_origin = everyone
+        self._own = own.address
         self._region = own.region
         self._far_regions = sorted({each.region for each in everyone if not each.at_origin})
         self._near = self._split(near)
@@ -47,6 +48,10 @@
         """Return the part that a chunk belongs to."""
         return chunk * self._parts // self._chunks
 
+    def may_feed(self, chunk: int) -> bool:
+        """Tell whether this agent is among those that fetch a chunk from the origin in turns."""
+        return self._own in self._at_origin[self.part_of(chunk)]
+
     def is_first_region(self, chunk: int) -> bool:
         """Tell whether this region takes a chunk straight from the origin's region."""
         return not self._far_regions or (
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -42,6 +42,11 @@
 """How long a chunk is waited for in the region that takes it from the origin's first: its way there
 takes 0.2 to 0.4 s."""
 
+HELP_SECONDS = 1.0
+"""After which chunks that nobody has are fetched out of turn. The agent whose turn it is may be
+dead or slow: after a loss of power, 11 of 96 chunks waited 1.5 s for a turn to pass on, and with
+them every chain. Fetched twice is at most what is under way then, four chunks."""
+
 HEAR_SECONDS = 0.25
 """Time for neighbours to say what they hold: a connection across regions takes 8 ms, behind chunks
 of another version up to 0.2 s."""
@@ -194,6 +199,7 @@
             self._own.address,
             duties.list_carriers,
             lambda chunk: duties.list_feeders(chunk, now - self._begun_at),
+            lambda chunk: now - self._begun_at > HELP_SECONDS and duties.may_feed(chunk),
             lambda chunk: self._may_cross(chunk, duties, now),
             self._measure_waits(missing, now),
             now - self._received_at,
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -44,10 +44,10 @@
 ORDER_RETRY_SECONDS = 0.1
 """Pause after an order that met a busy engine; it ends a pass about as often."""
 
-NEIGHBOUR_TRIES = 4
+NEIGHBOUR_TRIES = 3
 NEIGHBOURS_ASKED = 3
-"""Rounds and neighbours a round before the origin is asked for a list of digests: 0.4 s, in which
-a feeder has had it even through a slow link."""
+"""Rounds and neighbours a round before the origin is asked for a list of digests: 0.3 s, in which
+a feeder has had it. The list is 7 KB, a twentieth of a second of a host's link."""
 
 SPOILT_LIMIT = 3
 """Times a chunk may come spoilt before its digest is doubted: the list may be what is wrong."""
