--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -94,8 +94,8 @@
 takes up to 0.1 s from there."""
 
 UNSEEN_READ_SHARE = 0.8
-"""Part of its time that an engine which has few streams yet reads prompts. With nothing taken off, a
-calm quarter of a minute had 2 to 12 requests in 100 refused that had all been in time."""
+"""Part of its time that an engine which has few streams yet reads prompts. With nothing taken off,
+a calm quarter of a minute had 2 to 12 requests in 100 refused that had all been in time."""
 
 
 class Verdict(Enum):
--- a/packages/wrenloft-policy/tests/test_endpoints.py
+++ b/packages/wrenloft-policy/tests/test_endpoints.py
@@ -14,6 +14,7 @@
     choose_endpoint,
     count_seconds,
     decide_turn,
+    estimate_unseen,
     pick_return,
     predict_first_event,
 )
@@ -142,3 +143,23 @@
     def test_outage_sends_callers_far_ahead(self) -> None:
         """While no endpoint can take requests, an early return would be refused again."""
         assert min(pick_return(6.0, 0, Random(seed)) for seed in range(50)) >= 1.6
+
+
+class TestEstimateUnseen:
+    """Tests for ``estimate_unseen``."""
+
+    def test_first_engine_back_is_not_filled_by_all_nodes_at_once(self) -> None:
+        """Every node finds the same single engine idle, and none sees the sends of the others.
+
+        Each sends a handful in a quarter of a second; nine nodes fill 16 slots three times over.
+        """
+        unseen = estimate_unseen(5, nodes=9, endpoints=1, engine=PROFILE)
+        assert predict_first_event(PROFILE, 0, unseen, 977).total > 1.0
+
+    def test_calm_fleet_is_not_held_back(self) -> None:
+        """Spread over many engines, what others send is read before it would matter."""
+        assert estimate_unseen(4, nodes=9, endpoints=14, engine=PROFILE) == 0.0
+
+    def test_plain_services_are_not_guessed_at(self) -> None:
+        """Their endpoints answer in milliseconds and tell their load with each answer."""
+        assert estimate_unseen(50, nodes=9, endpoints=1, engine=None) == 0.0
--- a/packages/wrenloft-policy/tests/test_versions.py
+++ b/packages/wrenloft-policy/tests/test_versions.py
@@ -1,6 +1,13 @@
 """Tests of which version an agent works on, and when requests insist on it."""
 
-from wrenloft_policy import WantedVersion, choose_version, must_insist
+from wrenloft_policy import (
+    WantedVersion,
+    choose_version,
+    is_whole_late,
+    must_insist,
+    must_load_part,
+    pick_swap_time,
+)
 
 SIZE = 2_360_000
 LINK = 456_000
@@ -30,3 +37,39 @@
         wanted = WantedVersion(2, 100.0)
         assert not must_insist(wanted, 8.0, 106.0)
         assert must_insist(wanted, 8.0, 107.5)
+
+
+class TestPickSwapTime:
+    """Tests for ``pick_swap_time``."""
+
+    def test_groups_go_on_one_after_the_other(self) -> None:
+        """All engines have a version at the same moment; half of them go on serving the old one.
+
+        Without groups none would take requests for a second or two.
+        """
+        first = pick_swap_time(0, 102.0, 100.0, 8.0)
+        second = pick_swap_time(1, 102.0, 100.0, 8.0)
+        assert first == 102.0
+        assert 0.5 < second - first < 2.0
+
+    def test_nobody_waits_past_the_deadline(self) -> None:
+        """A version that came late is loaded at once by both groups."""
+        assert pick_swap_time(1, 106.0, 100.0, 8.0) == 106.0
+
+
+class TestParts:
+    """Tests of when a version is fetched and loaded in parts."""
+
+    def test_version_in_time_is_fetched_whole(self) -> None:
+        """Chains take half of the requests, so a version that comes in time is not split."""
+        assert not is_whole_late(WantedVersion(2, 100.0), 8.0, 100.3, 6.3)
+
+    def test_version_whose_origin_was_away_is_fetched_in_parts(self) -> None:
+        """The origin is away for six seconds: whole, the version would come five seconds late."""
+        assert is_whole_late(WantedVersion(2, 100.0), 8.0, 106.5, 6.0)
+
+    def test_part_is_loaded_only_at_the_deadline(self) -> None:
+        """Until then the engine serves the older version, whole."""
+        wanted = WantedVersion(2, 100.0)
+        assert not must_load_part(wanted, 8.0, 105.0)
+        assert must_load_part(wanted, 8.0, 107.5)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -63,7 +63,6 @@
     version: int
     loading: bool
     pace: float
-    memory_share: float
     span: LayerSpan | None = EVERY_LAYER
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -245,15 +246,27 @@
             reason=result.reason,
             ms=round((read_clock() - started) * 1000),
         )
-        course.tried.add(state.endpoint.agent_id)
+        at_fault = self._find_at_fault(state, result)
+        course.tried.update(each.endpoint.agent_id for each in at_fault)
         if isinstance(result, NotSent):
             return self._after_not_sent(course, state, result)
         course.attempts += 1
         if isinstance(result, Rejected):
-            return self._after_rejected(course, state, result)
+            return self._after_rejected(course, state, result, at_fault)
         self._endpoints.record_failure(state, read_clock())
         return self._after_lost(course, "send", result.reason)
 
+    def _find_at_fault(
+        self, state: EndpointState, result: NotSent | Rejected | Lost
+    ) -> list[EndpointState]:
+        """Return the endpoints at which a sending failed.
+
+        An engine of a chain names the one that refused; the others may take the request again.
+        """
+        if isinstance(result, Rejected) and result.address is not None:
+            return self._endpoints.find_address(result.address) or [state]
+        return [state]
+
     async def _open_within(
         self, course: _Course, placed: Placed
     ) -> Reply | NotSent | Rejected | Lost:
@@ -297,12 +310,15 @@
         return None
 
     def _after_rejected(
-        self, course: _Course, state: EndpointState, result: Rejected
+        self,
+        course: _Course,
+        state: EndpointState,
+        result: Rejected,
+        at_fault: Sequence[EndpointState],
     ) -> Outcome | None:
         """A rejected request has not run, so it may go elsewhere if the budget allows."""
         now = read_clock()
         self._endpoints.record_header(state, result.load, now)
-        at_fault = self._endpoints.find_address(result.address) if result.address else [state]
         for each in at_fault:
             each.full_until = now + FULL_SECONDS
             if result.mistaken:
--- a/packages/wrenloft-routing/tests/test_beliefs.py
+++ b/packages/wrenloft-routing/tests/test_beliefs.py
@@ -99,7 +99,7 @@
         endpoints = Endpoints(PLACE, REGION)
         endpoints.update([_endpoint("a")], trusted=True)
         now = read_clock()
-        endpoints.record_report("a:1", EngineReport(2, 1, 1, False, 1.0, 0.1), now)
+        endpoints.record_report("a:1", EngineReport(2, 1, 1, False, 1.0), now)
         state = endpoints.of_service(SERVICE)[0]
         for seconds in (0.05, 0.1, 0.15):
             state.note_sent(now + seconds)
@@ -116,7 +116,7 @@
         state = endpoints.of_service(SERVICE)[0]
         state.note_sent(100.0)
         state.note_sent(100.2)
-        endpoints.record_report("a:1", EngineReport(1, 0, 1, False, 1.0, 0.1), 100.3)
+        endpoints.record_report("a:1", EngineReport(1, 0, 1, False, 1.0), 100.3)
         state.note_sent(100.35)
         load = endpoints.measure(state, 100.36)
         assert (load.sent_since, load.recent) == (1, 2)
@@ -129,7 +129,7 @@
         endpoints = Endpoints(PLACE, REGION)
         endpoints.update([_endpoint("a", versions={"m": 1})], trusted=True)
         state = endpoints.of_service(SERVICE)[0]
-        endpoints.record_report("a:1", EngineReport(0, 0, 1, True, 1.0, 0.1, None), 100.0)
+        endpoints.record_report("a:1", EngineReport(0, 0, 1, True, 1.0, None), 100.0)
         assert state.weights_of("m", 100.1).span is None
         assert state.weights_of("m", 105.0).span == EVERY_LAYER
 
@@ -141,7 +141,7 @@
         endpoints = Endpoints(PLACE, REGION)
         endpoints.update([_endpoint("a", versions={"m": 1})], trusted=True)
         state = endpoints.of_service(SERVICE)[0]
-        endpoints.record_report("a:1", EngineReport(0, 0, 0, True, 1.0, 0.1, None), 100.0)
+        endpoints.record_report("a:1", EngineReport(0, 0, 0, True, 1.0, None), 100.0)
         assert state.weights_of("m", 100.1).span is None
 
     def test_failures_keep_requests_away_longer_each_time(self) -> None:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -23,7 +23,7 @@
     Unknown,
     read_clock,
 )
-from wrenloft_policy import EngineProfile, WantedVersion
+from wrenloft_policy import EngineProfile, LayerSpan, WantedVersion
 from wrenloft_routing import (
     Attempt,
     BackendService,
@@ -33,6 +33,7 @@
     CurrencyProof,
     Endpoint,
     Endpoints,
+    EngineReport,
     Forwarder,
     Gate,
     Headers,
@@ -63,7 +64,6 @@
     status: int = 200
     headers: Headers = (("X-Stamp", "s"),)
     load: tuple[int, int, int] | None = None
-    version: int | None = None
     genuine: bool = True
     is_stream: bool = False
     leaving: bool = False
@@ -146,7 +146,7 @@
     ),
     services={
         PLAIN: BackendService(PLAIN, 10),
-        ENGINES: BackendService(ENGINES, 10, PROFILE, MODEL),
+        ENGINES: BackendService(ENGINES, 10, PROFILE, MODEL, layers=16),
     },
     limits=CallerLimits(),
     callers={"key": Caller(OrganisationName("org"))},
@@ -179,6 +179,12 @@
         self.forwarder.table = TABLE
         self.sink = FakeSink()
 
+    def set_spans(self, spans: dict[int, LayerSpan]) -> None:
+        """Report which layers each engine serves."""
+        for number, span in spans.items():
+            report = EngineReport(0, 0, 1, False, 1.0, span)
+            self.endpoints.record_report(f"a{number}:1", report, read_clock())
+
     async def _open(self, attempt: Attempt) -> Any:
         self.attempts.append(attempt)
         outcome = self.outcomes.pop(0)
@@ -471,3 +477,30 @@
         bench.gate.name_version(MODEL, WantedVersion(3, read_clock() - 5.5))
         service = TABLE.services[ENGINES]
         assert bench.gate.required_version(service, read_clock()) == 2
+
+
+class TestChains:
+    """Tests of requests that go through several engines."""
+
+    async def test_refusal_marks_the_engine_at_fault(self) -> None:
+        """The second engine of a chain has just given up its layers, and the first says so.
+
+        The caller is answered by a chain of the first with another; only the engine at fault is
+        passed over.
+        """
+        bench = Bench(
+            lambda: Rejected("status 421", mistaken=True, address=_last_address(bench)),
+            FakeReply([b"ok"]),
+        )
+        bench.set_spans({0: LayerSpan(0, 8), 1: LayerSpan(8, 16), 2: LayerSpan(8, 16)})
+        assert isinstance(await bench.ask("stream"), Done)
+        first, second = (
+            [each.state.endpoint.agent_id for each in attempt.chain] for attempt in bench.attempts
+        )
+        assert first[0] == second[0] == "engines-0"
+        assert {first[1], second[1]} == {"engines-1", "engines-2"}
+        assert [attempt.version for attempt in bench.attempts] == [1, 1]
+
+
+def _last_address(bench: Bench) -> str:
+    return bench.attempts[-1].chain[-1].state.endpoint.address
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -23,7 +23,6 @@
     version: int
     loading: bool
     pace: float
-    memory_share: float
     sequence: int
     span: LayerSpan | None = EVERY_LAYER
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -126,6 +126,7 @@
         self._wanted = [WantedVersion(1, read_clock())]
         self._current = self._newest
         self._named = asyncio.Event()
+        self._ready_at: dict[int, float] = {}
         self._plan = LoadPlan(LayerSpan(0, means.layers), 1, 0)
 
     @property
@@ -218,6 +219,9 @@
             if holding is None:
                 continue
             if not holding.missing():
+                swaps = state.span is not None and state.version < wanted.number
+                if swaps and self._predict_swap(holding, wanted) > read_clock():
+                    return None
                 return LoadStep(holding, everything, wanted)
             first = self._plan.first
             held = not holding.missing(self._list_chunks(first, holding))
@@ -231,7 +235,7 @@
         return must_load_part(wanted, self._means.version_seconds, read_clock())
 
     def _is_about_to_load(self, state: EngineState) -> bool:
-        """Tell whether a version will be whole about when the engine's streams have ended.
+        """Tell whether a version will be loaded about when the engine's streams have ended.
 
         An engine takes nothing new from its order until its last stream has ended, 0.4 to 1.5 s.
         Kept away before, requests go to the engines that are not there yet.
@@ -241,8 +245,16 @@
         holding = self._means.holdings.get(VersionName(self._model, self._current.number))
         if holding is None or state.version >= holding.name.number:
             return False
+        return self._predict_swap(holding, self._current) - read_clock() < YIELD_SECONDS
+
+    def _predict_swap(self, holding: Holding, wanted: WantedVersion) -> float:
+        """Return when this engine goes on to a version, which may not be whole yet."""
         chunk_seconds = self._means.chunk_bytes / (self._means.link_rate * LINK_SHARE)
-        return len(holding.missing()) * chunk_seconds < YIELD_SECONDS
+        ready_at = read_clock() + len(holding.missing()) * chunk_seconds
+        if not holding.missing():
+            ready_at = self._ready_at.setdefault(wanted.number, ready_at)
+        seconds = self._means.version_seconds
+        return pick_swap_time(self._plan.group, ready_at, wanted.seen_at, seconds)
 
     def _list_chunks(self, span: LayerSpan, holding: Holding) -> range:
         return list_span_chunks(span, self._means.layers, len(holding.digests))
@@ -467,10 +479,6 @@
         """Stage, check and order what was chosen, and wait until the engine has loaded it."""
         wanted = self._list_chunks(step.span, step.holding)
         await self._verify(step.holding, wanted)
-        state = self._means.latest.state
-        if state is not None and state.span is not None and state.version < step.wanted.number:
-            await self._await_turn(step.wanted)
-            await self._verify(step.holding, wanted)
         number = step.wanted.number
         result = await self._means.engine.order(step.holding.name, step.span)
         note(
@@ -484,13 +492,6 @@
         if result is OrderResult.ACCEPTED:
             await self._await_loaded(number, step.span)
 
-    async def _await_turn(self, wanted: WantedVersion) -> None:
-        """Wait until this engine's group goes on to the version."""
-        now = read_clock()
-        seconds = self._means.version_seconds
-        at = pick_swap_time(self._plan.group, now, wanted.seen_at, seconds)
-        await asyncio.sleep(at - now)
-
     async def _await_loaded(self, number: int, span: LayerSpan) -> None:
         """Wait until the engine reports what it was ordered to load.
 
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from random import Random
@@ -11,7 +11,7 @@
 from aiohttp import ClientSession, web
 
 from wrenloft_core import IntegrityError, ModelName, Pacer, PlatformUnavailableError
-from wrenloft_policy import LayerSpan
+from wrenloft_policy import EVERY_LAYER, LayerSpan, list_span_chunks
 from wrenloft_swarm import (
     EngineState,
     Holding,
@@ -25,9 +25,11 @@
     Upkeep,
     VersionName,
 )
+from wrenloft_swarm._duties import Duties
 
 MODEL = ModelName("m")
 COUNT = 12
+LAYERS = 4
 
 
 def _chunks(version: int) -> list[bytes]:
@@ -70,6 +72,7 @@
     """An engine that loads what lies staged at the moment of the order.
 
     :param rot: chunks that turn bad as soon as they are staged for the first time.
+    :param draining: when set, an order takes effect once this event has come.
     """
 
     staged: dict[int, bytes] = field(default_factory=dict)
@@ -78,9 +81,12 @@
     rot: set[int] = field(default_factory=set)
     busy: int = 0
     spans: list[LayerSpan] = field(default_factory=list)
+    span: LayerSpan | None = EVERY_LAYER
+    draining: asyncio.Event | None = None
 
     async def report(self) -> EngineState:
-        return EngineState(0, 0, self.version, False, 1.0, 0.0, len(self.loaded))
+        span = self.span if self.version else None
+        return EngineState(0, 0, self.version, False, 1.0, len(self.loaded), span)
 
     async def list_staged(self, name: VersionName) -> set[int]:
         return set(self.staged)
@@ -98,10 +104,14 @@
         if self.busy > 0:
             self.busy -= 1
             return OrderResult.BUSY
-        whole = [self.staged.get(each) for each in range(COUNT)] == _chunks(name.number)
-        self.loaded.append((name.number, whole))
+        wanted = list_span_chunks(span, LAYERS, COUNT)
+        sound = all(self.staged.get(each) == _chunks(name.number)[each] for each in wanted)
+        self.loaded.append((name.number, sound))
         self.spans.append(span)
+        if self.draining:
+            await self.draining.wait()
         self.version = name.number
+        self.span = span
         return OrderResult.ACCEPTED
 
 
@@ -243,22 +253,33 @@
 
 
 class Rig:
-    """An upkeep with a fake engine and origin, and no neighbours."""
-
-    def __init__(self, stack: AsyncExitStack, session: ClientSession, engine: FakeEngine) -> None:
+    """An upkeep with a fake engine and origin, and no neighbours unless some are given."""
+
+    def __init__(
+        self,
+        stack: AsyncExitStack,
+        session: ClientSession,
+        engine: FakeEngine,
+        neighbours: Sequence[Neighbour] = (),
+        *,
+        cold: bool = False,
+    ) -> None:
         self.engine = engine
+        self.latest = LatestState()
         self.origin = FakeOrigin()
         means = Means(
             engine=engine,
             origin=self.origin,
             session=session,
             holdings=Holdings(),
-            latest=LatestState(),
-            neighbours=list,
-            own=Neighbour("own:1", near=True),
+            latest=self.latest,
+            neighbours=lambda: list(neighbours),
+            own=Neighbour("127.0.0.1:1", near=True),
             link_rate=1e6,
             chunk_bytes=100,
             random=Random(1),
+            layers=LAYERS,
+            is_cold=lambda: cold,
         )
         self.upkeep = Upkeep(MODEL, means)
         for work in (self.upkeep.follow_engine(), self.upkeep.run()):
@@ -271,9 +292,97 @@
                 await asyncio.sleep(0.02)
 
 
+class TestDuties:
+    """Tests for ``Duties``."""
+
+    def test_part_without_members_is_everybodys(self) -> None:
+        """A region with one host still fetches both parts."""
+        own = Neighbour("10.1.0.1:1", near=True)
+        duties = Duties(own, [Neighbour("10.2.0.1:1", near=False, at_origin=False)], 2, 12)
+        assert [duties.list_carriers(chunk) for chunk in (0, 11)] == [[own.address]] * 2
+
+    def test_one_region_takes_each_chunk_first(self) -> None:
+        """The others take it from there, and not from the origin's region once more."""
+        hosts = [
+            Neighbour(f"10.{n}.0.1:1", near=False, at_origin=n == 1, region=f"r{n}")
+            for n in (1, 2, 3)
+        ]
+        firsts = [
+            [Duties(own, [o for o in hosts if o is not own], 1, 12).is_first_region(chunk)]
+            for own in hosts[1:]
+            for chunk in (0, 1)
+        ]
+        assert firsts == [[True], [False], [False], [True]]
+
+
 class TestUpkeep:
     """Tests for ``Upkeep``."""
 
+    async def test_cold_engine_serves_its_part_before_it_has_the_rest(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """All hosts lost power; callers are refused until some engines hold all layers together.
+
+        The engine loads its half as soon as it has that, and the rest beside the work.
+        """
+        others = [Neighbour("127.0.0.1:9", near=True)]
+        rig = Rig(stack, session, FakeEngine(), others, cold=True)
+        async with asyncio.timeout(20):
+            while len(rig.engine.spans) < 2:
+                await asyncio.sleep(0.02)
+        assert rig.engine.spans == [LayerSpan(0, 2), LayerSpan(0, LAYERS)]
+        assert rig.engine.loaded == [(1, True), (1, True)]
+
+    async def test_engine_that_joins_others_waits_for_the_whole_version(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """While others serve, a chain with the new engine would only slow them down."""
+        others = [Neighbour("127.0.0.1:9", near=True)]
+        rig = Rig(stack, session, FakeEngine(), others)
+        await rig.wait_for(1)
+        assert rig.engine.spans == [LayerSpan(0, LAYERS)]
+
+    async def test_next_version_is_fetched_while_the_engine_still_loads(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """A third version is named while streams keep the engine from going on to the second.
+
+        Fetched only after that, the third would miss its deadline by as much. What lies staged
+        for the second must stay until the engine has taken it.
+        """
+        engine = FakeEngine(version=1, draining=asyncio.Event())
+        rig = Rig(stack, session, engine)
+        rig.upkeep.name_version(2)
+        async with asyncio.timeout(10):
+            while not engine.loaded:
+                await asyncio.sleep(0.02)
+            rig.upkeep.name_version(3)
+            holdings = rig.upkeep._means.holdings
+            third = VersionName(MODEL, 3)
+            while (held := holdings.get(third)) is None or held.missing():
+                await asyncio.sleep(0.02)
+        assert engine.version == 1
+        engine.draining.set()
+        await rig.wait_for(3)
+        assert engine.loaded == [(2, True), (3, True)]
+
+    async def test_requests_are_kept_away_before_the_engine_goes_on(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Sent to an engine that waits for its last stream, requests would only be refused."""
+        engine = FakeEngine(version=1, draining=asyncio.Event())
+        rig = Rig(stack, session, engine)
+        rig.upkeep.name_version(2)
+        async with asyncio.timeout(10):
+            while not engine.loaded:
+                await asyncio.sleep(0.02)
+        assert rig.latest.yielding
+        engine.draining.set()
+        async with asyncio.timeout(10):
+            while rig.latest.yielding:
+                await asyncio.sleep(0.02)
+        assert engine.version == 2
+
     async def test_empty_engine_gets_the_first_version(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -1,6 +1,7 @@
 """Tests of sending to endpoints that spoil, lose, cross or refuse answers."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -8,10 +9,13 @@
 
 from wrenloft_core import AgentId, OrganisationName, PlaceName, RegionName, RequestId, ServiceName
 from wrenloft_platform._runner import RunnerReply, RunnerTransport
+from wrenloft_policy import LayerSpan
 from wrenloft_routing import (
     Attempt,
     CallerRequest,
+    ChainStage,
     Endpoint,
+    EndpointState,
     Lost,
     NotSent,
     Rejected,
@@ -74,6 +78,35 @@
         assert 0 < int(got.headers["x-deadline-ms"]) <= 500
         assert got.headers["x-custom"] == "kept"
 
+    async def test_chain_is_named_with_the_layers_of_each_engine(
+        self, session: ClientSession, endpoint: StandinEndpoint
+    ) -> None:
+        """The first engine learns which others hold the layers that it lacks."""
+        first = Endpoint(
+            AgentId("i-1"), ServiceName("s"), endpoint.address, PlaceName("p"), RegionName("r"), 4
+        )
+        second = replace(first, agent_id=AgentId("i-2"), address="10.0.0.2:80")
+        chain = (
+            ChainStage(EndpointState(first), LayerSpan(0, 8)),
+            ChainStage(EndpointState(second), LayerSpan(8, 16)),
+        )
+        await _open(session, endpoint, version=2, chain=chain)
+        path = endpoint.received[0].headers["path"]
+        assert path == f"{endpoint.address}=0-8,10.0.0.2:80=8-16"
+
+    async def test_refusal_by_a_later_engine_names_it(
+        self, session: ClientSession, endpoint: StandinEndpoint
+    ) -> None:
+        """The first engine is sound; put down to it, half of the engines would be avoided."""
+        endpoint.answers = [
+            whole_answer(
+                b"", "503 Service Unavailable", b"X-Not-Executed: 1\r\nAt-Server: 10.0.0.2:80\r\n"
+            )
+        ]
+        result = await _open(session, endpoint)
+        assert isinstance(result, Rejected)
+        assert result.address == "10.0.0.2:80"
+
     async def test_refused_connection_is_not_sent(self, session: ClientSession) -> None:
         """Nothing listens: the request may go elsewhere, whatever its kind."""
         result = await RunnerTransport(session).open(_attempt("127.0.0.1:9"))
