Load the part that was fetched for a cold start; keep the next version's chunks from a checked one's place

(2) a chunk of the next version could be staged between the check of a part and its order. (3) an engine was kept from requests while the last chunks of its version did not come at all. Change: a part once fetched is loaded; staging and ordering exclude one another; a fetch without a chunk for 0.5 s predicts no end; an engine without weights that joins others is never split; chains leave whole engines alone if they can. Ruled out: slow loading (the order was never sent).

--- a/packages/wrenloft-policy/src/wrenloft_policy/_layers.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_layers.py
@@ -74,9 +74,9 @@
 ) -> list[ChainPart] | None:
     """Return engines that run every layer once and in order, beginning with ``first``.
 
-    Each next engine is the nearest that has the next layer, of these the one that goes on
-    furthest, and then the least busy: a token crosses between the engines at every step, so the
-    way counts more than their load.
+    Each next engine is the nearest that has the next layer: a token crosses between the engines at
+    every step, so the way counts more than their load. Of these, one that cannot serve without
+    others goes first, then the one that goes on furthest, then the least busy.
 
     :returns: ``None`` if some layer is held by nobody.
     """
@@ -93,7 +93,14 @@
         if not able:
             return None
         best = min(
-            able, key=lambda each: (each.distance, -each.span.stop, each.busy, random.random())
+            able,
+            key=lambda each: (
+                each.distance,
+                each.span.start == 0,
+                -each.span.stop,
+                each.busy,
+                random.random(),
+            ),
         )
         chain.append(ChainPart(best.key, LayerSpan(at, min(best.span.stop, layers))))
     return chain
--- a/packages/wrenloft-policy/tests/test_layers.py
+++ b/packages/wrenloft-policy/tests/test_layers.py
@@ -84,6 +84,13 @@
             LayerHolder("a", UPPER), [LayerHolder("b", LOWER)], 16, Random(1)
         ) is (None)
 
+    def test_engines_that_serve_alone_are_left_to_that(self) -> None:
+        """A whole engine takes more requests alone than as part of a chain."""
+        others = [LayerHolder("whole", LayerSpan(0, 16)), LayerHolder("part", UPPER, busy=9)]
+        chain = complete_chain(LayerHolder("a", LOWER), others, 16, Random(1))
+        assert chain is not None
+        assert [each.key for each in chain] == ["a", "part"]
+
     def test_nearest_continues_before_idle(self) -> None:
         """A token crosses between the engines at every step, so the way goes before the load."""
         others = [LayerHolder("far", UPPER, 2, busy=0), LayerHolder("near", UPPER, 0, busy=9)]
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_holdings.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_holdings.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from wrenloft_core import IntegrityError, ModelName, note
+from wrenloft_core import IntegrityError, ModelName, note, read_clock
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,6 +34,7 @@
         self.digests = tuple(digests)
         self._chunks: dict[int, bytes] = {}
         self.mask = 0
+        self.added_at = 0.0
         self.changed = asyncio.Event()
 
     @property
@@ -66,6 +67,7 @@
         if chunk not in self._chunks:
             self._chunks[chunk] = data
             self.mask |= 1 << chunk
+            self.added_at = read_clock()
             self.changed.set()
             self.changed = asyncio.Event()
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -58,6 +58,10 @@
 """Before a version is whole, from when requests are kept away from an engine that serves an older
 one: half of its streams end in that time, and the entry nodes learn of it within 0.1 to 0.25 s."""
 
+STALL_SECONDS = 0.5
+"""Time without a chunk after which the end of a fetch is no longer predicted: the origin may be
+away for seconds, and all engines would wait for it without work."""
+
 _RETRY_SECONDS = 0.2
 _STAGE_AT_ONCE = 4
 """Staged chunks written or read at once; they cross no link."""
@@ -76,7 +80,7 @@
     :param chunk_bytes: bytes of one chunk.
     :param layers: layers of the model.
     :param version_seconds: from naming a version until requests begin on it only.
-    :param is_cold: tells whether no engine of the service is known to hold any weights.
+    :param is_cold: tells whether hardly any engine of the service holds weights.
     """
 
     engine: Engine
@@ -126,6 +130,7 @@
         self._wanted = [WantedVersion(1, read_clock())]
         self._current = self._newest
         self._named = asyncio.Event()
+        self._staging = asyncio.Lock()
         self._ready_at: dict[int, float] = {}
         self._plan = LoadPlan(LayerSpan(0, means.layers), 1, 0)
 
@@ -230,7 +235,7 @@
         return None
 
     def _needs_part(self, state: EngineState, wanted: WantedVersion) -> bool:
-        if state.span is None and self._means.is_cold():
+        if state.span is None:
             return True
         return must_load_part(wanted, self._means.version_seconds, read_clock())
 
@@ -245,6 +250,8 @@
         holding = self._means.holdings.get(VersionName(self._model, self._current.number))
         if holding is None or state.version >= holding.name.number:
             return False
+        if holding.missing() and read_clock() - holding.added_at > STALL_SECONDS:
+            return False
         return self._predict_swap(holding, self._current) - read_clock() < YIELD_SECONDS
 
     def _predict_swap(self, holding: Holding, wanted: WantedVersion) -> float:
@@ -360,8 +367,13 @@
         return older and holding is not None and not holding.missing()
 
     def _should_split(self, holding: Holding) -> bool:
+        if self._means.is_cold():
+            return True
+        state = self._means.latest.state
+        if state is None or state.span is None:
+            return False  # others serve, and take more requests without this one in chains
         missing = len(holding.missing()) * self._means.chunk_bytes
-        return self._means.is_cold() or is_whole_late(
+        return is_whole_late(
             self._current,
             self._means.version_seconds,
             read_clock(),
@@ -420,12 +432,13 @@
         state = self._means.latest.state
         if state is None or state.loading:
             return
-        if any(self._is_due(each, state, name) for each in self._wanted):
+        if self._staging.locked() or any(self._is_due(x, state, name) for x in self._wanted):
             return
-        try:
-            await self._means.engine.stage(name, chunk, data)
-        except PlatformUnavailableError as error:
-            note(_LOG, "chunk not staged yet", chunk=chunk, reason=str(error))
+        async with self._staging:
+            try:
+                await self._means.engine.stage(name, chunk, data)
+            except PlatformUnavailableError as error:
+                note(_LOG, "chunk not staged yet", chunk=chunk, reason=str(error))
 
     def _should_switch(self, holding: Holding) -> bool:
         if self._newest.number <= holding.name.number:
@@ -478,9 +491,12 @@
     async def _load(self, step: LoadStep) -> None:
         """Stage, check and order what was chosen, and wait until the engine has loaded it."""
         wanted = self._list_chunks(step.span, step.holding)
-        await self._verify(step.holding, wanted)
         number = step.wanted.number
-        result = await self._means.engine.order(step.holding.name, step.span)
+        # The engine loads what lies staged when it accepts the order. Without the lock a chunk of
+        # the next version, just fetched, could take a checked one's place before that.
+        async with self._staging:
+            await self._verify(step.holding, wanted)
+            result = await self._means.engine.order(step.holding.name, step.span)
         note(
             _LOG,
             "engine ordered",
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -264,6 +264,7 @@
         *,
         cold: bool = False,
     ) -> None:
+        self.cold = cold
         self.engine = engine
         self.latest = LatestState()
         self.origin = FakeOrigin()
@@ -279,7 +280,7 @@
             chunk_bytes=100,
             random=Random(1),
             layers=LAYERS,
-            is_cold=lambda: cold,
+            is_cold=lambda: self.cold,
         )
         self.upkeep = Upkeep(MODEL, means)
         for work in (self.upkeep.follow_engine(), self.upkeep.run()):
@@ -333,6 +334,42 @@
         assert rig.engine.spans == [LayerSpan(0, 2), LayerSpan(0, LAYERS)]
         assert rig.engine.loaded == [(1, True), (1, True)]
 
+    async def test_part_is_loaded_though_others_were_faster(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """After a loss of power the engines with the other half are a second faster.
+
+        They count as serving, so the fleet is no longer without weights; but they serve nobody
+        until this engine has loaded its half.
+        """
+        rig = Rig(stack, session, FakeEngine(), [Neighbour("127.0.0.1:9", near=True)], cold=True)
+        async with asyncio.timeout(20):
+            while rig.upkeep._plan.parts == 1:
+                await asyncio.sleep(0.01)
+            rig.cold = False
+            while not rig.engine.spans:
+                await asyncio.sleep(0.02)
+        assert rig.engine.spans[0] == LayerSpan(0, 2)
+
+    async def test_stalled_fetch_keeps_no_requests_away(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """The origin goes away when the last chunks of a version are still missing.
+
+        Kept idle until it is back, all engines would refuse what they can serve on the version
+        before.
+        """
+        rig = Rig(stack, session, FakeEngine(version=1))
+        async with asyncio.timeout(5):
+            while rig.latest.state is None:
+                await asyncio.sleep(0.02)
+        rig.origin.down = True
+        holding = rig.upkeep._means.holdings.open(VersionName(MODEL, 2), _digests(2))
+        _fill(holding, range(COUNT - 1))
+        rig.upkeep.name_version(2)
+        await asyncio.sleep(1.0)
+        assert not rig.latest.yielding
+
     async def test_engine_that_joins_others_waits_for_the_whole_version(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
@@ -366,6 +403,28 @@
         await rig.wait_for(3)
         assert engine.loaded == [(2, True), (3, True)]
 
+    async def test_next_versions_chunk_takes_no_checked_ones_place(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """A chunk of the next version arrives between the check of a part and its order.
+
+        The engine loads what lies staged at the order and checks nothing: written then, the chunk
+        would be loaded into the version before.
+        """
+        engine = FakeEngine()
+        rig = Rig(stack, session, engine, [Neighbour("127.0.0.1:9", near=True)], cold=True)
+        order = engine.order
+
+        async def order_late(name: VersionName, span: LayerSpan) -> OrderResult:
+            await rig.upkeep._stage_early(VersionName(MODEL, 2), 0, _chunks(2)[0])
+            return await order(name, span)
+
+        engine.order = order_late  # type: ignore[method-assign]
+        async with asyncio.timeout(20):
+            while not engine.loaded:
+                await asyncio.sleep(0.02)
+        assert engine.loaded[0] == (1, True)
+
     async def test_requests_are_kept_away_before_the_engine_goes_on(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
