--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -122,6 +123,7 @@
     holdings: Holdings
     neighbour: Neighbour
     heard: list[tuple[str, int]]
+    latest: LatestState = field(default_factory=LatestState)
 
 
 @pytest.fixture
@@ -137,15 +139,27 @@
     return await stack.enter_async_context(ClientSession())
 
 
-async def _serve(stack: AsyncExitStack, *, near: bool = True) -> Peer:
+class HeldLink(Pacer):
+    """A link that carries nothing until it is set free."""
+
+    def __init__(self) -> None:
+        super().__init__(1e9)
+        self.free = asyncio.Event()
+
+    async def carry(self, size: int) -> None:
+        await self.free.wait()
+
+
+async def _serve(stack: AsyncExitStack, *, near: bool = True, pacer: Pacer | None = None) -> Peer:
     holdings = Holdings()
+    latest = LatestState()
     heard: list[tuple[str, int]] = []
     routes = SwarmRoutes(
         holdings,
-        LatestState(),
+        latest,
         lambda: False,
         lambda model, number: heard.append((model, number)),
-        Pacer(1e9),
+        pacer or Pacer(1e9),
         "r",
     )
     app = web.Application()
@@ -155,7 +169,7 @@
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     address = f"127.0.0.1:{runner.addresses[0][1]}"
-    return Peer(holdings, Neighbour(address, near), heard)
+    return Peer(holdings, Neighbour(address, near), heard, latest)
 
 
 def _fill(holding: Holding, chunks: range) -> None:
@@ -293,6 +307,52 @@
                 await asyncio.sleep(0.02)
 
 
+class TestSwarmRoutes:
+    """Tests for ``SwarmRoutes``."""
+
+    async def test_further_chunks_wait_and_the_rest_is_refused(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Ten neighbours ask at once for a chunk each.
+
+        Sent all at once each would be late; refused all but two, the link would rest between them.
+        Those not served first are refused before the others.
+        """
+        link = HeldLink()
+        peer = await _serve(stack, pacer=link)
+        _fill(peer.holdings.open(VersionName(MODEL, 1), _digests(1)), range(COUNT))
+
+        async def ask(chunk: int, urgency: str) -> int:
+            url = f"http://{peer.neighbour.address}/chunks/{MODEL}/1/{chunk}?urgency={urgency}"
+            async with session.get(url) as response:
+                await response.read()
+                return response.status
+
+        for urgency, served in (("rest", 4), ("first", 6)):
+            link.free.clear()
+            tasks = {asyncio.create_task(ask(chunk, urgency)) for chunk in range(10)}
+            refused: set[asyncio.Task[int]] = set()
+            while len(refused) < 10 - served:
+                done, _ = await asyncio.wait(tasks - refused, return_when=asyncio.FIRST_COMPLETED)
+                refused |= done
+            link.free.set()
+            answers = await asyncio.gather(*tasks)
+            assert {await each for each in refused} == {429}
+            assert answers.count(200) == served
+
+    async def test_yielding_engine_is_reported_without_layers(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Entry nodes stop sending to an engine that is about to go on to another version."""
+        peer = await _serve(stack)
+        peer.latest.set(EngineState(1, 0, 1, False, 1.0, 0, LayerSpan(0, 4)))
+        peer.latest.set_yielding(True)
+        url = f"http://{peer.neighbour.address}/reports"
+        async with asyncio.timeout(5), session.get(url) as response:
+            report = json.loads(await response.content.readline())
+        assert (report["version"], report["span"]) == (1, None)
+
+
 class TestDuties:
     """Tests for ``Duties``."""
 
