--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -40,8 +40,8 @@
 
 UPLOAD_SHARE = 0.82
 """Part of the link that chunks sent to others may use. The engine's streams leave by the same
-link: at full rate over half of the streams came late while weights moved, at 0.9 a fifth of all requests,
-at 0.82 one to four in a hundred (one play of a day with one new version each)."""
+link: at full rate over half of the streams came late while weights moved, at 0.9 a fifth of all
+requests, at 0.82 one to four in a hundred (one play of a day with one new version each)."""
 
 _PIECE_BYTES = 2880
 """Bytes written at a time: two packets, 6 ms of the link, which an event may have to wait."""
