Show that an unsafe request is not repeated where the rule allows two endpoints

Cause: make prove found its test passing without the safeguard, because the test's rule allowed one attempt. The test now runs on both kinds of rule; a test of whole versions says which layers were ordered.

--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -140,6 +140,7 @@
     rules=(
         _rule("safe", RuleKind.SAFE, PLAIN),
         _rule("once", RuleKind.UNSAFE, PLAIN, max_attempts=1),
+        _rule("unsafe", RuleKind.UNSAFE, PLAIN),
         _rule("public", RuleKind.SAFE, PLAIN, public=True),
         _rule("stream", RuleKind.STREAM, ENGINES, resumable=True, gap_aim=0.05),
         _rule("fixed", RuleKind.STREAM, ENGINES),
@@ -266,16 +267,21 @@
         assert reply.closed[0] is True
         assert bench.attempts[0].organisation == "org"
 
+    @pytest.mark.parametrize("rule", ["once", "unsafe"])
     @pytest.mark.parametrize("bad", ["lost", "foreign", "cut"])
-    async def test_unsafe_request_is_never_sent_twice(self, bad: str) -> None:
-        """The caller gets 502, which promises nothing: the request may have run."""
+    async def test_unsafe_request_is_never_sent_twice(self, bad: str, rule: str) -> None:
+        """The caller gets 502, which promises nothing: the request may have run.
+
+        So it is also where the rule allows two endpoints; the second is for requests that the
+        first one rejected.
+        """
         outcomes = {
             "lost": Lost("reset"),
             "foreign": FakeReply([b"x"], genuine=False),
             "cut": FakeReply([b"x", ReplyBrokenError("cut")]),
         }
-        bench = Bench(outcomes[bad])
-        assert isinstance(await bench.ask("once"), Unknown)
+        bench = Bench(outcomes[bad], FakeReply([b"second"]))
+        assert isinstance(await bench.ask(rule), Unknown)
         assert bench.sink.status == 502
         assert len(bench.attempts) == 1
 
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -518,6 +518,7 @@
         rig.upkeep.name_version(2)
         await rig.wait_for(2)
         assert rig.engine.loaded == [(2, True)]
+        assert rig.engine.spans == [LayerSpan(0, LAYERS)]
 
     async def test_rotten_staged_chunks_are_replaced_before_the_order(
         self, stack: AsyncExitStack, session: ClientSession
