Tell returning callers from fresh ones by a patience no fresh caller has; rank requests at engines

Cause: whatever was missing from the longest patience counted as time spent on earlier attempts. Ruled out: engines being slow meanwhile; the times from attempt to first event fit the prediction within a factor of two.

Change: a caller counts as returning below 0.83 of the longest patience; refused callers are asked to stay away for 0.18 or more of theirs, so that they are told apart. Requests carry a rank by which engines admit them.

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -6,6 +6,7 @@
     AIM_SHARE_MOST,
     HOLD_SHARE,
     REPORT_LAG_SECONDS,
+    URGENCIES,
     Choice,
     EndpointLoad,
     Verdict,
@@ -13,9 +14,11 @@
     choose_endpoint,
     count_seconds,
     decide_turn,
+    estimate_spent,
     estimate_unseen,
     pick_return,
     predict_answer,
+    rank_urgency,
 )
 from wrenloft_policy._engine import EngineProfile, Prediction, predict_first_event
 from wrenloft_policy._entries import EntryNode, choose_entries
@@ -70,6 +73,7 @@
     "LINK_SHARE",
     "REPORT_LAG_SECONDS",
     "SWAP_GROUPS",
+    "URGENCIES",
     "Candidate",
     "ChainPart",
     "Choice",
@@ -114,6 +118,7 @@
     "decide_turn",
     "divide_limits",
     "estimate_load",
+    "estimate_spent",
     "estimate_unseen",
     "estimate_wait",
     "grant_permits",
@@ -132,5 +137,6 @@
     "predict_first_event",
     "rank_owners",
     "rank_turn",
+    "rank_urgency",
     "split_layers",
 ]
--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -51,9 +51,16 @@
 OWN_WORK_USUAL = 1.5
 """Usual prompts' reading up to which a request's own work counts against its aim."""
 
-RETURN_SPREAD = (0.4, 1.6)
-"""Seconds after which refused callers come back, drawn at random so that a burst that was refused
-does not return as one; a slot becomes free about every 0.13 s at each full engine."""
+FRESH_SHARE = 0.83
+"""Part of the longest patience of a kind of request from which a caller counts as a fresh one.
+Callers' patience varies by itself: on a calm day without one refusal it was between 0.86 and 1.0
+of the longest. Whatever was missing counted as time spent on earlier attempts, so that half of all
+fresh requests ranked as late, waited up to 1.5 s for room to spare, and came late for that."""
+
+RETURN_SPREAD = (0.18, 0.33)
+"""Part of its patience after which a refused caller comes back, drawn at random so that a burst
+that was refused does not return as one. An answer to it is late in any case, and by what is left of
+its patience after the least of these it is told from fresh callers."""
 
 
 OUTAGE_RETURN_SHARE = 0.8
@@ -224,6 +231,37 @@
     return prediction.queued + min(prediction.own, usual)
 
 
+def estimate_spent(patience: float, longest: float) -> float:
+    """Estimate the seconds since a caller's first attempt; 0 for a fresh caller.
+
+    Callers say how long they will still wait, and nothing links two attempts of one caller.
+
+    :param patience: seconds that this caller still waits.
+    :param longest: seconds that callers of its kind of request waited at most, lately.
+    """
+    return 0.0 if patience >= longest * FRESH_SHARE else longest - patience
+
+
+URGENCIES = 10
+"""Ranks by which an engine takes waiting requests into its batch."""
+
+
+def rank_urgency(rank: int, *, late: bool, begun: bool) -> int:
+    """Return a request's rank among those that wait at an engine; 0 goes first.
+
+    A stream that goes on after another engine failed has its pause running and goes first. Then
+    the most urgent kind; of one kind those that can still be in time. In the order of arrival,
+    callers who were refused before delay those who could still be served in time.
+
+    :param rank: of the kind of request, 0 for the most urgent.
+    :param late: whether its answer will be late in any case.
+    :param begun: whether its caller has part of the answer.
+    """
+    if begun:
+        return 0
+    return min(1 + 2 * rank + late, URGENCIES - 1)
+
+
 def adjust_aim_share(share: float, *, in_time: bool) -> float:
     """Return the part of the aim that predictions may use up, after one more first event.
 
@@ -248,4 +286,4 @@
     if not candidates:
         return max(0.05, random.uniform(OUTAGE_RETURN_SHARE, 1.0) * longest)
     low, high = RETURN_SPREAD
-    return max(0.05, min(random.uniform(low, high), longest))
+    return max(0.05, min(random.uniform(low, high) * left, longest))
--- a/packages/wrenloft-policy/tests/test_endpoints.py
+++ b/packages/wrenloft-policy/tests/test_endpoints.py
@@ -2,11 +2,13 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wrenloft_policy import (
     AIM_SHARE_MOST,
+    URGENCIES,
     EndpointLoad,
     EngineProfile,
     Verdict,
@@ -14,9 +16,11 @@
     choose_endpoint,
     count_seconds,
     decide_turn,
+    estimate_spent,
     estimate_unseen,
     pick_return,
     predict_first_event,
+    rank_urgency,
 )
 
 PROFILE = EngineProfile(16, 5, 0.00887, 0.0000388, 19100.0, 2048, 977, 94)
@@ -127,6 +131,40 @@
         assert share == AIM_SHARE_MOST
 
 
+class TestEstimateSpent:
+    """Tests for ``estimate_spent``."""
+
+    @pytest.mark.parametrize("patience", [5.2, 5.6, 6.0])
+    def test_natural_differences_of_patience_are_no_return(self, patience: float) -> None:
+        """No request was refused, and callers wait 5.2 to 6.0 s.
+
+        Taken for returning callers, most of them waited for room to spare, and came late for that.
+        """
+        assert estimate_spent(patience, 6.0) == 0.0
+
+    @given(st.floats(0.87, 1.0), st.integers(0, 1000))
+    def test_refused_caller_is_known_when_it_returns(self, share: float, seed: int) -> None:
+        """What a returning caller has left tells it from a fresh one, however patient it was."""
+        patience = 6.0 * share
+        left = patience - pick_return(patience, 5, Random(seed))
+        assert estimate_spent(left, 6.0) > 0.0
+
+
+class TestRankUrgency:
+    """Tests for ``rank_urgency``."""
+
+    def test_order_at_an_engine(self) -> None:
+        """A stream that goes on elsewhere first, then by kind, then those that can be in time."""
+        ranks = [
+            rank_urgency(3, late=False, begun=True),
+            rank_urgency(0, late=False, begun=False),
+            rank_urgency(0, late=True, begun=False),
+            rank_urgency(1, late=False, begun=False),
+            rank_urgency(9, late=False, begun=False),
+        ]
+        assert ranks == sorted(ranks) and ranks[-1] < URGENCIES and ranks[0] == 0
+
+
 class TestPickReturn:
     """Tests for ``pick_return``."""
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -46,6 +46,7 @@
     :param organisation: whose key the caller has, ``None`` if the rule needs none.
     :param version: the only version of weights on which it may run, ``None`` for any.
     :param chain: the engines that it goes through, empty if the endpoint alone suffices.
+    :param urgency: before which others an engine takes it into its batch; 0 goes first.
     """
 
     request: CallerRequest
@@ -55,6 +56,7 @@
     version: int | None
     last_event: int | None
     chain: tuple[ChainStage, ...] = ()
+    urgency: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -18,7 +18,7 @@
     note,
     read_clock,
 )
-from wrenloft_policy import Prediction, pick_return
+from wrenloft_policy import Prediction, estimate_spent, pick_return, rank_urgency
 from wrenloft_routing._budget import SharedBudget
 from wrenloft_routing._endpoints import FULL_SECONDS, Endpoints, EndpointState
 from wrenloft_routing._exchange import (
@@ -55,9 +55,6 @@
 """By which the longest patience of a rule fades with each request, so that a shorter one in a new
 configuration is learnt within some hundred requests."""
 
-PATIENCE_SLACK = 0.05
-"""Difference of patience that is put down to the way here."""
-
 BEGIN_MARGIN_SECONDS = 0.3
 """Before a version's deadline, by which a request that has not begun is given up: its close reaches
 an endpoint behind chunks of weights in 0.2 s at the worst."""
@@ -177,14 +174,13 @@
         return course
 
     def _estimate_spent(self, rule: str, patience: float) -> float:
-        """Estimate the seconds since the caller's first attempt.
+        """Estimate the seconds since the caller's first attempt, from how long it will still wait.
 
-        Callers say how long they will still wait. All of a rule begin with the same patience, so
-        what is missing from the longest seen lately was spent on earlier attempts.
+        :param patience: seconds.
         """
         longest = max(patience, self._longest.get(rule, 0.0) * PATIENCE_DECAY)
         self._longest[rule] = longest
-        return max(0.0, longest - patience - PATIENCE_SLACK)
+        return estimate_spent(patience, longest)
 
     async def _run(self, course: _Course, sink: AnswerSink) -> Outcome:
         """Send attempts until one gives the answer or no further one is allowed."""
@@ -279,6 +275,7 @@
             version=placed.version,
             last_event=course.pump.last,
             chain=placed.chain,
+            urgency=rank_urgency(course.rank, late=course.spent > 0.0, begun=course.pump.begun),
         )
         try:
             async with asyncio.timeout(self._silence_limit(course, left)):
@@ -448,7 +445,7 @@
 
     def _note_first_event(self, course: _Course) -> None:
         """Learn from first attempts only; others were late before they were sent."""
-        if course.spent <= PATIENCE_SLACK and course.attempts == 1:
+        if not course.spent and course.attempts == 1:
             seconds = course.pump.begun_at - course.request.arrived
             in_time = seconds <= course.rule.aim
             self._gate.record_first_event(course.service.name, in_time=in_time)
