Hold a fresh request while it can still be in time

Cause: a fresh request that found every engine full was refused after an eighth of its aim, 0.05 s, and its caller's answer was then late in any case. Ruled out: serving returning callers later still; they wait behind fresh ones at the same node already.

Change: while the aim leaves an idle engine's time to the first event, a fresh request stays in line.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from random import Random
 
 from wrenloft_policy._engine import EngineProfile, Prediction, predict_first_event
@@ -37,8 +38,8 @@
 second; comparing all would send all of them to the same endpoint, a random few spreads them."""
 
 HOLD_SHARE = 0.12
-"""Part of the aim that a request may wait at the entry node for room. One that finds none by then
-is refused while its caller can still ask again in time."""
+"""Part of the aim that a request waits at the entry node while no endpoint at all can take it: a
+list that is about to change, and not an outage, which callers should hear of at once."""
 
 LATE_SHARE = 0.6
 """Part of what fresh requests may use up below which an endpoint has room to spare, for requests
@@ -188,6 +189,7 @@
     limited: bool,
     spent: float = 0.0,
     aim_share: float = AIM_SHARE_MOST,
+    least: float = inf,
 ) -> Verdict:
     """Decide whether a request is sent, held for a moment, or refused.
 
@@ -203,6 +205,10 @@
     :param spent: part of ``elapsed`` that had passed when the request came here: the caller was
         refused before, and its answer will be late.
     :param aim_share: part of the aim that the prediction may use up.
+    :param least: seconds to the first byte at an idle endpoint, infinite if there is none. While that much is left of the aim
+        a request is held: a refused caller's answer is late in any case, and refused after an
+        eighth of the aim, fresh callers left each place that became free to those who had been
+        refused before and were held for longer.
     """
     if predicted is not None:
         if not limited and predicted <= left:
@@ -213,7 +219,8 @@
         if predicted is not None and predicted <= aim * aim_share * LATE_SHARE:
             return Verdict.SEND
         return Verdict.HOLD if elapsed - spent < left * LATE_HOLD_SHARE else Verdict.REFUSE
-    if elapsed < aim * HOLD_SHARE and left > 0:
+    can_be_in_time = elapsed + least <= aim * aim_share
+    if (can_be_in_time or elapsed < aim * HOLD_SHARE) and left > 0:
         return Verdict.HOLD
     return Verdict.REFUSE
 
--- a/packages/wrenloft-policy/tests/test_endpoints.py
+++ b/packages/wrenloft-policy/tests/test_endpoints.py
@@ -93,6 +93,15 @@
 class TestDecideTurn:
     """Tests for ``decide_turn``."""
 
+    def test_fresh_request_is_held_while_it_can_be_in_time(self) -> None:
+        """Every engine is full for a moment; one that became free would serve it in 0.1 s.
+
+        Refused at once, its caller comes back late, and the free place goes to a late request.
+        """
+        full = {"aim": 0.4, "left": 6.0, "limited": True, "least": 0.1}
+        assert decide_turn(0.9, 0.2, **full) is Verdict.HOLD
+        assert decide_turn(0.9, 0.3, **full) is Verdict.REFUSE
+
     def test_overload_holds_a_moment_then_refuses(self) -> None:
         """With nothing free in time, a request waits a tenth of its aim and is then refused."""
         assert decide_turn(0.9, 0.01, 0.4, 6.0, limited=True) is Verdict.HOLD
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
+from math import inf
 from random import Random
 
 from wrenloft_core import AgentId, ServiceName, read_clock
@@ -19,6 +20,7 @@
     decide_turn,
     estimate_unseen,
     must_insist,
+    predict_answer,
 )
 from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoints, EndpointState
@@ -165,9 +167,10 @@
         work = self._work.get(ask.service.name, WORK_SECONDS)
         choice = choose_endpoint(loads, ask.service.engine, ask.prompt_tokens, work, self._random)
         urgent = any(each.order < ask.order for each in self._waiting[ask.service.name])
-        needed = None
+        needed, least = None, inf
         if choice is not None:
             needed = count_seconds(choice.prediction, ask.service.engine)
+            least = self._measure_least(ask, work)
         verdict = decide_turn(
             None if urgent else needed,
             now - ask.since + ask.spent,
@@ -176,6 +179,7 @@
             limited=ask.service.engine is not None,
             spent=ask.spent,
             aim_share=self._aim_shares.get(ask.service.name, AIM_SHARE_MOST),
+            least=least,
         )
         if verdict is Verdict.SEND and choice is not None:
             chosen = next(each for each in able if each.state.endpoint.agent_id == choice.key)
@@ -191,6 +195,12 @@
             return Refused(f"best of {len(able)} needs {needed:.3f} s", len(able))
         return None
 
+    def _measure_least(self, ask: Ask, work: float) -> float:
+        """Return the seconds that count against the aim at an idle endpoint."""
+        idle = EndpointLoad("idle", slots=1, running=0, waiting=0, sent_since=0, distance=0)
+        prediction = predict_answer(idle, ask.service.engine, ask.prompt_tokens, work)
+        return count_seconds(prediction, ask.service.engine)
+
     def _measure(
         self, able: Sequence[Able], service: BackendService, now: float
     ) -> list[EndpointLoad]:
