Tell the other entry nodes what this one has in progress at each engine

Cause: an engine's report is 0.2 to 0.45 s old when it arrives, as long as a first event may take, and nine nodes each sent their next requests to the engine that all had just found idle. Ruled out: a wrong model of the engine; in calm seconds predictions fit within 1.5 times.

Prediction adds them up; reports count only while a live node is not heard. If none of the sampled engines is in time, all are looked at.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -95,6 +95,7 @@
     suspect: bool = False
     recent: int = 0
     unseen: float = 0.0
+    unread_tokens: float | None = None
 
 
 REPORT_LAG_SECONDS = 0.25
@@ -131,7 +132,9 @@
     """
     if engine is not None:
         waiting = load.waiting + load.sent_since + load.unseen
-        return predict_first_event(engine, load.running, waiting, prompt_tokens, load.pace)
+        return predict_first_event(
+            engine, load.running, waiting, prompt_tokens, load.pace, load.unread_tokens
+        )
     present = load.running + load.waiting + load.sent_since
     rounds = present // max(1, load.slots)
     crowding = present * work_seconds / max(1, load.slots) / 4
@@ -162,9 +165,11 @@
     prompt_tokens: float,
     work_seconds: float,
     random: Random,
+    limit: float = inf,
 ) -> Choice | None:
-    """Choose an endpoint: the best of a random few.
+    """Choose an endpoint: the best of a random few, or of all if none of these is good enough.
 
+    :param limit: seconds to the first byte that are good enough.
     :returns: ``None`` if there are none.
     """
     if not loads:
@@ -177,6 +182,8 @@
         return predict_answer(load, engine, prompt_tokens, work_seconds).total + far + doubt
 
     best = min(sample, key=rank)
+    if rank(best) > limit and len(sample) < len(loads):
+        best = min(loads, key=rank)
     return Choice(best.key, predict_answer(best, engine, prompt_tokens, work_seconds))
 
 
@@ -205,10 +212,10 @@
     :param spent: part of ``elapsed`` that had passed when the request came here: the caller was
         refused before, and its answer will be late.
     :param aim_share: part of the aim that the prediction may use up.
-    :param least: seconds to the first byte at an idle endpoint, infinite if there is none. While that much is left of the aim
-        a request is held: a refused caller's answer is late in any case, and refused after an
-        eighth of the aim, fresh callers left each place that became free to those who had been
-        refused before and were held for longer.
+    :param least: seconds to the first byte at an idle endpoint, infinite if there is none. While
+        that much is left of the aim a request is held: a refused caller's answer is late in any
+        case, and refused after an eighth of the aim, fresh callers left each place that became
+        free to those who had been refused before and were held for longer.
     """
     if predicted is not None:
         if not limited and predicted <= left:
--- a/packages/wrenloft-policy/src/wrenloft_policy/_engine.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_engine.py
@@ -77,7 +77,12 @@
 
 
 def predict_first_event(
-    profile: EngineProfile, running: int, waiting: float, prompt_tokens: float, pace: float = 1.0
+    profile: EngineProfile,
+    running: int,
+    waiting: float,
+    prompt_tokens: float,
+    pace: float = 1.0,
+    waiting_tokens: float | None = None,
 ) -> Prediction:
     """Predict the seconds until a request sent now has its first event.
 
@@ -87,6 +92,7 @@
     :param running: requests in the batch.
     :param waiting: requests before this one that are not in the batch; an estimate.
     :param pace: how many times slower than its profile the engine is.
+    :param waiting_tokens: prompt tokens of those that wait, ``None`` for usual ones.
     """
     ahead = running + waiting + 1 - profile.slots
     slot_wait = max(0, ahead) * profile.stream_seconds() / profile.slots
@@ -94,7 +100,10 @@
     own_read = prompt_tokens / profile.read_rate
     started_pass = _MEAN_CHUNK_SHARE * profile.pass_seconds(min(running, profile.slots))
     first_pass = profile.writing_seconds(min(running + 1, profile.slots))
-    others_read = unread * profile.usual_read
+    if waiting_tokens is None:
+        others_read = unread * profile.usual_read
+    else:
+        others_read = waiting_tokens / profile.read_rate * unread / max(1.0, waiting)
     between = profile.writing_seconds(min(running, profile.slots)) if running else 0.0
     further_passes = int((others_read + own_read) * profile.read_rate / profile.chunk)
     queued = slot_wait + started_pass + others_read + further_passes * between
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -18,10 +18,13 @@
 )
 from wrenloft_routing._forward import Forwarder
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
+from wrenloft_routing._loads import InProgress, OtherNodes
 from wrenloft_routing._members import Member, Members
 from wrenloft_routing._peers import (
     FAR_PING_SECONDS,
     NEAR_PING_SECONDS,
+    LoadFollower,
+    LoadRoutes,
     PingRoutes,
     ReportFollower,
     ping_forever,
@@ -66,13 +69,17 @@
     "Forwarder",
     "Gate",
     "Headers",
+    "InProgress",
     "Item",
+    "LoadFollower",
+    "LoadRoutes",
     "Lost",
     "Member",
     "Members",
     "NotSent",
     "OpenAttempt",
     "Origin",
+    "OtherNodes",
     "PingRoutes",
     "Placed",
     "Pump",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -4,10 +4,11 @@
 import logging
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wrenloft_core import AgentId, PlaceName, RegionName, ServiceName, note
 from wrenloft_policy import EVERY_LAYER, REPORT_LAG_SECONDS, EndpointLoad, LayerSpan
+from wrenloft_routing._loads import NOTHING, InProgress, OtherNodes
 
 _LOG = logging.getLogger(__name__)
 
@@ -84,12 +85,14 @@
     """An endpoint and what this node knows of it beyond the list.
 
     :param own: requests in progress that this node sent to it.
+    :param in_progress: the same, by how far they are.
     :param later_parts: requests in progress of this node that go through it after another engine.
     """
 
     endpoint: Endpoint
     leaving: bool = False
     own: int = 0
+    in_progress: InProgress = NOTHING
     failures: int = 0
     suspect_until: float = 0.0
     full_until: float = 0.0
@@ -100,6 +103,10 @@
     sent_at: deque[float] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
     later_parts: int = 0
 
+    def change(self, by: InProgress) -> None:
+        """Take that requests of this node began, went on or ended there."""
+        self.in_progress += by
+
     def has_fresh_report(self, now: float) -> bool:
         """Whether its agent reported lately."""
         return self.report is not None and now - self.reported_at < REPORT_STALE_SECONDS
@@ -147,6 +154,7 @@
         self._states: dict[AgentId, EndpointState] = {}
         self._left: dict[AgentId, int] = {}
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
+        self.others = OtherNodes()
         self.changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -209,6 +217,14 @@
             self._by_service.setdefault(state.endpoint.service, []).append(state)
         self.notify()
 
+    def list_in_progress(self) -> dict[AgentId, InProgress]:
+        """Return what this node has in progress, by endpoint; others are told of it."""
+        return {
+            agent_id: state.in_progress
+            for agent_id, state in self._states.items()
+            if state.in_progress != NOTHING
+        }
+
     def get(self, agent_id: AgentId) -> EndpointState | None:
         """Return an endpoint's state, if it is known."""
         return self._states.get(agent_id)
@@ -248,28 +264,47 @@
         state.failures += 1
         state.suspect_until = now + pause
 
-    def measure(self, state: EndpointState, now: float) -> EndpointLoad:
-        """Return an endpoint's load as the choice reads it."""
-        running, waiting, pace = state.own, 0, 1.0
-        slots = state.endpoint.slots
+    def measure(self, state: EndpointState, now: float, *, all_heard: bool = False) -> EndpointLoad:
+        """Return an endpoint's load as the choice reads it.
+
+        :param all_heard: whether every other entry node tells what it has in progress there; if
+            not, the endpoint's own word counts too, which is older and knows of all.
+        """
+        pace = 1.0
         if state.report is not None and state.has_fresh_report(now):
-            running, waiting = state.report.running, state.report.waiting
             pace = max(1.0, state.report.pace)
+        told = state.in_progress + self.others.at(state.endpoint.agent_id)
+        load = EndpointLoad(
+            key=state.endpoint.agent_id,
+            slots=state.endpoint.slots,
+            running=told.running,
+            waiting=told.unread,
+            sent_since=0,
+            distance=self._measure_distance(state.endpoint),
+            pace=pace,
+            suspect=state.suspect_until > now,
+            unread_tokens=told.unread_tokens,
+        )
+        return load if all_heard else self._add_reported(load, state, now)
+
+    def _add_reported(self, load: EndpointLoad, state: EndpointState, now: float) -> EndpointLoad:
+        running, waiting, slots = state.own, 0, load.slots
+        if state.report is not None and state.has_fresh_report(now):
+            running, waiting = state.report.running, state.report.waiting
         elif state.header_load is not None and now - state.header_at < HEADER_STALE_SECONDS:
             running, waiting, slots = state.header_load
         since = state.know_since(now)
-        endpoint = state.endpoint
-        distance = 0 if endpoint.place == self._place else 1
-        if endpoint.region != self._region:
-            distance = 2
-        return EndpointLoad(
-            key=endpoint.agent_id,
+        return replace(
+            load,
             slots=slots,
-            running=running,
-            waiting=waiting,
+            running=max(running, load.running),
+            waiting=max(waiting, load.waiting),
             sent_since=state.count_sent(since),
             recent=state.count_sent(since - REPORT_LAG_SECONDS),
-            distance=distance,
-            pace=pace,
-            suspect=state.suspect_until > now,
+            unread_tokens=None,
         )
+
+    def _measure_distance(self, endpoint: Endpoint) -> int:
+        if endpoint.place == self._place:
+            return 0
+        return 1 if endpoint.region == self._region else 2
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -34,6 +34,7 @@
     ReplyBrokenError,
 )
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
+from wrenloft_routing._loads import NOTHING, InProgress
 from wrenloft_routing._proof import CurrencyProof
 from wrenloft_routing._streams import Pump, StreamEnd, pump_stream
 from wrenloft_routing._table import BackendService, RoutingTable, Rule, RuleKind, pick_target
@@ -100,6 +101,7 @@
     begin_by: float = float("inf")
     peer: str = ""
     pump: Pump = field(default_factory=Pump)
+    share: InProgress = NOTHING
 
     @property
     def left(self) -> float:
@@ -215,6 +217,9 @@
         state = placed.state
         state.own += 1
         state.note_sent(read_clock())
+        tokens = round(course.request.prompt_tokens)
+        course.share = InProgress(unread=1, unread_tokens=tokens)
+        state.change(course.share)
         for stage in placed.chain[1:]:
             stage.state.later_parts += 1
         course.peer = state.endpoint.agent_id
@@ -229,6 +234,7 @@
                 return await self._take_reply(course, state, result, sink, started)
         finally:
             state.own -= 1
+            state.change(NOTHING - course.share)
             for stage in placed.chain[1:]:
                 stage.state.later_parts -= 1
             self._endpoints.notify()
@@ -419,6 +425,12 @@
         self, course: _Course, state: EndpointState, reply: Reply, sink: AnswerSink
     ) -> Outcome | None:
         first = not course.pump.begun
+
+        def note_begun() -> None:
+            running = InProgress(running=1)
+            state.change(running - course.share)
+            course.share = running
+
         end = await pump_stream(
             reply,
             sink,
@@ -427,6 +439,7 @@
             gap_aim=course.rule.gap_aim,
             deadline=course.deadline,
             resumable=self._may_repeat(course, course.attempts),
+            on_begin=note_begun,
         )
         if first and course.pump.begun:
             FIRST_SECONDS.observe(course.pump.begun_at - course.request.arrived)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -1,7 +1,7 @@
 """Waiting for room at an endpoint: most urgent first, briefly, refused early."""
 
 import asyncio
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, replace
 from math import inf
 from random import Random
@@ -87,12 +87,19 @@
 
 
 class Gate:
-    """Places requests at endpoints; ``nodes`` entry nodes send to the same ones.
+    """Places requests at endpoints.
 
     :param version_seconds: from naming a version until requests may begin on it only.
+    :param count_nodes: returns how many live entry nodes send to the same endpoints.
     """
 
-    def __init__(self, endpoints: Endpoints, random: Random, version_seconds: float) -> None:
+    def __init__(
+        self,
+        endpoints: Endpoints,
+        random: Random,
+        version_seconds: float,
+        count_nodes: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._endpoints = endpoints
         self._random = random
         self._version_seconds = version_seconds
@@ -100,7 +107,7 @@
         self._work: dict[ServiceName, float] = {}
         self._aim_shares: dict[ServiceName, float] = {}
         self._wanted: dict[str, list[WantedVersion]] = {}
-        self.nodes = 1
+        self._count_nodes = count_nodes
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
         """Take the time that a plain service needed for an answer."""
@@ -165,7 +172,11 @@
         able = self._list_able(ask.service, tried, now)
         loads = self._measure(able, ask.service, now)
         work = self._work.get(ask.service.name, WORK_SECONDS)
-        choice = choose_endpoint(loads, ask.service.engine, ask.prompt_tokens, work, self._random)
+        aim_share = self._aim_shares.get(ask.service.name, AIM_SHARE_MOST)
+        good = ask.aim * aim_share - (now - ask.since) - ask.spent
+        choice = choose_endpoint(
+            loads, ask.service.engine, ask.prompt_tokens, work, self._random, good
+        )
         urgent = any(each.order < ask.order for each in self._waiting[ask.service.name])
         needed, least = None, inf
         if choice is not None:
@@ -178,7 +189,7 @@
             ask.deadline - now,
             limited=ask.service.engine is not None,
             spent=ask.spent,
-            aim_share=self._aim_shares.get(ask.service.name, AIM_SHARE_MOST),
+            aim_share=aim_share,
             least=least,
         )
         if verdict is Verdict.SEND and choice is not None:
@@ -204,9 +215,13 @@
     def _measure(
         self, able: Sequence[Able], service: BackendService, now: float
     ) -> list[EndpointLoad]:
-        loads = [self._endpoints.measure(each.state, now) for each in able]
+        self._endpoints.others.drop_silent(now)
+        unheard = max(0, self._count_nodes() - 1 - self._endpoints.others.count_heard())
+        loads = [self._endpoints.measure(each.state, now, all_heard=not unheard) for each in able]
+        if not unheard:
+            return loads
         recent = sum(each.recent for each in loads)
-        unseen = estimate_unseen(recent, self.nodes, len(loads), service.engine)
+        unseen = estimate_unseen(recent, 1 + unheard, len(loads), service.engine)
         return [replace(each, unseen=unseen) for each in loads]
 
     def _list_able(
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
@@ -0,0 +1,92 @@
+"""Requests in progress at each endpoint, as entry nodes tell them one another."""
+
+from dataclasses import dataclass
+
+from wrenloft_core import AgentId, NodeId
+
+HEARD_SECONDS = 1.0
+"""How long another node's word holds without a further one; it says something every 0.4 s."""
+
+
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """Requests in progress at one endpoint.
+
+    :param unread: sent, and without a first event yet.
+    :param unread_tokens: prompt tokens of those.
+    :param running: whose first event has come.
+    """
+
+    unread: int = 0
+    unread_tokens: int = 0
+    running: int = 0
+
+    def __add__(self, other: "InProgress") -> "InProgress":
+        return InProgress(
+            self.unread + other.unread,
+            self.unread_tokens + other.unread_tokens,
+            self.running + other.running,
+        )
+
+    def __sub__(self, other: "InProgress") -> "InProgress":
+        return InProgress(
+            self.unread - other.unread,
+            self.unread_tokens - other.unread_tokens,
+            self.running - other.running,
+        )
+
+
+NOTHING = InProgress()
+
+
+class OtherNodes:
+    """What the other entry nodes have in progress, by endpoint.
+
+    An engine's report is 0.2 to 0.45 s old when it arrives, about as long as a first event may
+    take. While engines were scarce, nodes that went by reports predicted 120 to 190 ms (middle of
+    a second) and saw 600 to 1,000, as each sent its next requests to the engine that all others
+    had just found idle. What nodes tell one another is a few hundredths of a second old.
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[NodeId, dict[AgentId, InProgress]] = {}
+        self._heard_at: dict[NodeId, float] = {}
+        self._sums: dict[AgentId, InProgress] = {}
+
+    def record(self, node: NodeId, told: dict[AgentId, InProgress], now: float) -> None:
+        """Take what a node has in progress at the endpoints where that has changed."""
+        known = self._told.setdefault(node, {})
+        for agent_id, load in told.items():
+            self._change(agent_id, load - known.get(agent_id, NOTHING))
+            if load == NOTHING:
+                known.pop(agent_id, None)
+            else:
+                known[agent_id] = load
+        self._heard_at[node] = now
+
+    def forget(self, node: NodeId) -> None:
+        """Drop a node's word: it begins anew, or is silent."""
+        for agent_id, load in self._told.pop(node, {}).items():
+            self._change(agent_id, NOTHING - load)
+        self._heard_at.pop(node, None)
+
+    def drop_silent(self, now: float) -> None:
+        """Drop the word of nodes that have been silent for too long."""
+        for node, at in list(self._heard_at.items()):
+            if now - at > HEARD_SECONDS:
+                self.forget(node)
+
+    def count_heard(self) -> int:
+        """Return how many other nodes' word is held."""
+        return len(self._heard_at)
+
+    def at(self, agent_id: AgentId) -> InProgress:
+        """Return what all other nodes have in progress at an endpoint."""
+        return self._sums.get(agent_id, NOTHING)
+
+    def _change(self, agent_id: AgentId, by: InProgress) -> None:
+        total = self._sums.get(agent_id, NOTHING) + by
+        if total == NOTHING:
+            self._sums.pop(agent_id, None)
+        else:
+            self._sums[agent_id] = total
--- a/packages/wrenloft-routing/src/wrenloft_routing/_members.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_members.py
@@ -126,5 +126,10 @@
             return [each.front for each in named]
         return [each.front for each in self._members.values()]
 
+    def count_live(self) -> int:
+        """Return how many entry nodes answer pings, this one included."""
+        others = [each for near in (True, False) for each in self.others(near=near)]
+        return 1 + sum(each.missed < MISSED_PINGS for each in others)
+
     def __len__(self) -> int:
         return len(self._members)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -1,6 +1,7 @@
 """Passing an event stream on, and noticing when it no longer comes."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -43,6 +44,7 @@
     gap_aim: float,
     deadline: float,
     resumable: bool,
+    on_begin: Callable[[], None],
 ) -> StreamEnd:
     """Pass events on until the endpoint's stream ends.
 
@@ -52,9 +54,11 @@
     :param first_limit: seconds until the first event.
     :param resumable: whether a stall after it may end this endpoint's stream; if not, its silence
         is borne until the deadline, since nobody else could go on.
+    :param on_begin: called when this endpoint's first event has come.
     """
     splitter = EventSplitter()
     limit = first_limit
+    begun = False
     while True:
         left = deadline - read_clock()
         if left <= 0:
@@ -74,6 +78,9 @@
             continue
         if not _follow_on(events, pump.last):
             return StreamEnd.BROKEN
+        if not begun:
+            begun = True
+            on_begin()
         await _pass_on(events, reply, sink, pump)
         limit = gap_aim * STALL_GAPS
 
