Drain the origin at its full rate while it is there; take staged chunks once the origin is up

Cause: each feeder asked the origin for one chunk at a time and left most of its link to neighbours' chunks: three feeders took 21 chunks a second of the 37 that the origin's link gives. Agents that started before the origin gave up on what lies staged beside their engines for good (two of six). Ruled out: the connections that the origin accepts (48, nine used).

Change: a feeder asks for three chunks at once and takes no neighbour's while chunks of its turn have not left the origin, unless nothing came from there for 0.6 s. Taking what lies staged is tried again every second until the digests are had.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -79,6 +79,7 @@
     waited: Mapping[int, float],
     idle: float,
     origin_free: bool,
+    origin_first: bool,
     origin_repeats: bool,
     random: Random,
     busy_limit: int,
@@ -99,6 +100,10 @@
     :param waited: seconds for which each chunk has been held elsewhere.
     :param idle: seconds since a chunk last came.
     :param origin_free: whether another fetch from the origin may start.
+    :param origin_first: whether this agent's link is left to the origin while chunks that are its
+        turn there have not left it. The origin may go away at any moment: shared with neighbours'
+        chunks, three feeders took 21 chunks a second of 37 that its link gives, and 14 of 64 were
+        missing to everybody when it went away 2.3 s after the naming.
     :param origin_repeats: whether that may be a chunk that others hold, but fewer than half of
         them. The uplinks of the origin's region carry every chunk to the other regions besides
         their own, and bind; an agent that joins finds enough holders without the origin.
@@ -106,11 +111,11 @@
     counts = {chunk: sum(each.held >> chunk & 1 for each in sources) for chunk in missing}
     near_held = _join_masks(each for each in sources if each.near)
     impatient = idle > IDLE_PATIENCE
+    unheld = [chunk for chunk in missing if not counts[chunk]]
+    mine = [chunk for chunk in unheld if _pick_feeder(chunk, list_feeders(chunk)) == own_address]
+    if mine and origin_first and not origin_free:
+        return None
     if origin_free:
-        unheld = [chunk for chunk in missing if not counts[chunk]]
-        mine = [
-            chunk for chunk in unheld if _pick_feeder(chunk, list_feeders(chunk)) == own_address
-        ]
         if mine or (impatient and unheld):
             return Pick(random.choice(mine or unheld), None)
         late = [chunk for chunk in unheld if may_help(chunk)]
--- a/packages/wrenloft-policy/tests/test_fetching.py
+++ b/packages/wrenloft-policy/tests/test_fetching.py
@@ -19,6 +19,8 @@
     helps: bool = False,
     crosses: bool = True,
     repeats: bool = False,
+    free: bool = True,
+    first: bool = False,
 ) -> tuple[int, str | None] | None:
     pick = choose_fetch(
         missing,
@@ -30,7 +32,8 @@
         lambda _: crosses,
         dict.fromkeys(missing, waited),
         idle,
-        True,
+        free,
+        first,
         repeats,
         Random(1),
         2,
@@ -46,6 +49,17 @@
         sources = [ChunkSource(NEAR[1], 0b0111, 0, near=True)]
         assert _choose(sources, [0, 1, 2, 3]) == (3, None)
 
+    def test_feeder_leaves_its_link_to_the_origin(self) -> None:
+        """The origin goes away two seconds after a version was named, with chunks still in it.
+
+        Nobody can finish until it is back. A feeder whose fetches there are all under way waits
+        for the next of them and takes no neighbour's chunk, unless the origin has fallen silent.
+        """
+        sources = [ChunkSource(NEAR[1], 0b0111, 0, near=True)]
+        assert _choose(sources, [0, 3], free=False, first=True) is None
+        assert _choose(sources, [0, 3], free=False, first=False) == (0, NEAR[1])
+        assert _choose(sources, [0, 1], free=False, first=True) is not None
+
     def test_rarest_near_chunk_is_taken(self) -> None:
         """Of what the region holds, the chunk with the fewest holders comes first."""
         sources = [
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -30,9 +30,13 @@
 SOURCE_FETCHES = 2
 """Chunks asked of one neighbour at once, so that the load spreads."""
 
-ORIGIN_FETCHES = 1
-"""Chunks that a feeder asks of the origin at once. Four feeders keep its link full; two each would
-only make every chunk twice as long on its way, and nobody can pass on what has not arrived."""
+ORIGIN_FETCHES = 3
+"""Chunks that a feeder asks of the origin at once: one on the link, one that the origin is reading
+the question for, and one more while a neighbour's chunk holds the first up."""
+
+ORIGIN_SILENCE_SECONDS = 0.6
+"""Time without a chunk from the origin after which it is taken for slow or away, and neighbours are
+asked beside it: with all feeders at once a chunk takes 0.3 s (computed from the two links)."""
 
 ORIGIN_COPIES = 2.0
 """Copies of a version that may leave the origin, about. All agents' uplinks together bind: with one
@@ -113,6 +117,7 @@
         self._from_origin = 0
         self._repeated = 0
         self._origin_after = 0.0
+        self._origin_heard_at = read_clock()
         self._begun_at = self._received_at = read_clock()
         self._noted_at = 0.0
         self._seen_at: dict[int, float] = {}
@@ -204,6 +209,7 @@
             self._measure_waits(missing, now),
             now - self._received_at,
             self._may_ask_origin(now),
+            now - self._origin_heard_at < ORIGIN_SILENCE_SECONDS,
             self._may_repeat_origin(duties),
             self._random,
             SOURCE_FETCHES,
@@ -283,6 +289,7 @@
     async def _fetch_from_origin(self, chunk: int) -> None:
         try:
             data = await self._origin.fetch_chunk(self._holding.name, chunk)
+            self._origin_heard_at = read_clock()
             await self._keep(chunk, data, "origin", "origin")
         except IntegrityError as error:
             self._note_spoilt(chunk, "origin", error)
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -62,6 +62,9 @@
 """Time without a chunk after which the end of a fetch is no longer predicted: the origin may be
 away for seconds, and all engines would wait for it without work."""
 
+RECOVER_SECONDS = 1.0
+"""Between two tries to take what lies staged: the origin starts within seconds of the agents."""
+
 _RETRY_SECONDS = 0.2
 _STAGE_AT_ONCE = 4
 """Staged chunks written or read at once; they cross no link."""
@@ -165,8 +168,10 @@
         Two tasks: the next version is fetched while the engine still goes on to the one before,
         which takes as long as its streams run.
         """
-        await self._recover_staged()
+        recovered = await self._recover_staged()
         async with asyncio.TaskGroup() as group:
+            if not recovered:
+                group.create_task(self._keep_recovering())
             group.create_task(self._keep_fetching())
             group.create_task(self._keep_loading())
 
@@ -266,11 +271,25 @@
     def _list_chunks(self, span: LayerSpan, holding: Holding) -> range:
         return list_span_chunks(span, self._means.layers, len(holding.digests))
 
-    async def _recover_staged(self) -> None:
+    async def _keep_recovering(self) -> None:
+        """Try again to take what lies staged until it is had.
+
+        Agents may start before the origin, which has the digests to check it by. With one try, two
+        of six agents held nothing for the engines that joined, and those drew from the origin what
+        lay beside every engine.
+        """
+        while True:
+            await asyncio.sleep(RECOVER_SECONDS)
+            if await self._recover_staged():
+                return
+
+    async def _recover_staged(self) -> bool:
         """Take what already lies staged beside the engine, so that neighbours can have it.
 
         Engines present at the start hold the first version; without this, the first engine that
         joins would draw a whole copy from the origin while seven hosts have one.
+
+        :returns: whether that was possible.
         """
         means = self._means
         name = VersionName(self._model, 1)
@@ -281,12 +300,14 @@
             name = VersionName(self._model, number)
             staged = await means.engine.list_staged(name)
             if not staged:
-                return
+                return True
             holding = await self._open(name)
             await _run_limited([self._adopt(holding, chunk) for chunk in sorted(staged)])
             note(_LOG, "staged chunks taken", version=number, held=holding.held)
+            return True
         except PlatformUnavailableError as error:
             note(_LOG, "staged chunks not taken", reason=str(error))
+            return False
 
     async def _adopt(self, holding: Holding, chunk: int) -> None:
         data = await self._means.engine.read_staged(holding.name, chunk)
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -574,3 +574,22 @@
                 await asyncio.sleep(0.02)
         assert held.missing() == [4]
         assert not rig.origin.sent
+
+    async def test_staged_chunks_are_taken_once_the_origin_has_started(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """An agent starts before the origin, whose digests tell sound chunks from rotten ones.
+
+        Given up then, its neighbours could never fetch from it, and an engine that joins would
+        draw from the origin what lies beside every engine.
+        """
+        engine = FakeEngine(staged=dict(enumerate(_chunks(1))), version=1)
+        rig = Rig(stack, session, engine)
+        rig.origin.down = True
+        await asyncio.sleep(0.6)
+        rig.origin.down = False
+        holdings = rig.upkeep._means.holdings
+        async with asyncio.timeout(10):
+            while (held := holdings.get(VersionName(MODEL, 1))) is None or held.missing():
+                await asyncio.sleep(0.02)
+        assert not rig.origin.sent
