--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -187,6 +187,19 @@
     return Choice(best.key, predict_answer(best, engine, prompt_tokens, work_seconds))
 
 
+def count_room(load: EndpointLoad, engine: EngineProfile, limit: float) -> int:
+    """Count the usual requests that an engine could still take with a first event in time.
+
+    :param limit: seconds to the first event that are in time.
+    """
+    spare = limit - predict_answer(load, engine, engine.usual_prompt, 0.0).total
+    if spare < 0:
+        return 0
+    present = load.running + load.waiting + load.sent_since
+    each = engine.usual_read if present < load.slots else engine.stream_seconds() / engine.slots
+    return 1 + int(spare / each)
+
+
 def decide_turn(
     predicted: float | None,
     elapsed: float,
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -18,7 +18,7 @@
 )
 from wrenloft_routing._forward import Forwarder
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
-from wrenloft_routing._loads import InProgress, OtherNodes
+from wrenloft_routing._loads import InProgress, Line, OtherNodes, Word
 from wrenloft_routing._members import Member, Members
 from wrenloft_routing._peers import (
     FAR_PING_SECONDS,
@@ -28,6 +28,7 @@
     PingRoutes,
     ReportFollower,
     ping_forever,
+    tell_pause,
 )
 from wrenloft_routing._proof import CurrencyProof
 from wrenloft_routing._readings import Item, Reading, ReadingRoutes, SharedReading, Taken
@@ -71,6 +72,7 @@
     "Headers",
     "InProgress",
     "Item",
+    "Line",
     "LoadFollower",
     "LoadRoutes",
     "Lost",
@@ -98,8 +100,10 @@
     "StreamEnd",
     "Taken",
     "Target",
+    "Word",
     "list_able",
     "pick_target",
     "ping_forever",
     "pump_stream",
+    "tell_pause",
 ]
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -56,6 +56,13 @@
 """By which the longest patience of a rule fades with each request, so that a shorter one in a new
 configuration is learnt within some hundred requests."""
 
+LEAVE_SHARE = 0.6
+"""Part of the aimed pause that the way to another engine may be predicted to take. Three in ten of
+first events come later than 1.5 times the prediction while engines are busy."""
+
+LEAVE_LEFT_SECONDS = 0.5
+"""Time left below which a stream stays: it ends by itself before the engine could go on."""
+
 BEGIN_MARGIN_SECONDS = 0.3
 """Before a version's deadline, by which a request that has not begun is given up: its close reaches
 an endpoint behind chunks of weights in 0.2 s at the worst."""
@@ -201,16 +208,8 @@
         # An endpoint that failed used up the aim; the next gets one of its own, since an answer
         # that comes late is better than a refusal while endpoints have room.
         untried = course.attempts == 0 and course.not_sent == 0
-        ask = Ask(
-            service=course.service,
-            rank=course.rank,
-            prompt_tokens=course.request.prompt_tokens,
-            since=course.request.arrived if untried else read_clock(),
-            spent=course.spent,
-            aim=course.rule.aim,
-            deadline=course.deadline,
-        )
-        return await self._gate.place(ask, course.tried)
+        since = course.request.arrived if untried else read_clock()
+        return await self._gate.place(_build_ask(course, since), course.tried)
 
     async def _attempt(self, course: _Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
         """Send once; ``None`` means that another attempt may follow."""
@@ -287,7 +286,12 @@
             async with asyncio.timeout(self._silence_limit(course, left)):
                 return await self._open(attempt)
         except TimeoutError:
-            self._endpoints.record_failure(placed.state, read_clock())
+            now = read_clock()
+            if now >= course.begin_by:
+                # Given up here, ahead of a version's deadline: the endpoint did nothing wrong.
+                # Put down to it, every engine was kept out for 1.5 s after each swap.
+                return Lost("not begun before the version is due")
+            self._endpoints.record_failure(placed.state, now)
             return Lost("no answer in time")
 
     def _silence_limit(self, course: _Course, left: float) -> float:
@@ -440,6 +444,7 @@
             deadline=course.deadline,
             resumable=self._may_repeat(course, course.attempts),
             on_begin=note_begun,
+            should_leave=lambda: self._should_leave(course, state),
         )
         if first and course.pump.begun:
             FIRST_SECONDS.observe(course.pump.begun_at - course.request.arrived)
@@ -452,10 +457,43 @@
             return Done(course.peer)
         if end is StreamEnd.DEADLINE:
             return Unknown("stream", "deadline passed", course.peer)
+        if end is StreamEnd.LEFT:
+            ATTEMPTS.labels("left").inc()
+            course.tried.add(state.endpoint.agent_id)
+            # Its caller has part of the answer: no way out may say that it has not run.
+            course.may_have_run = True
+            return None
         if end is StreamEnd.STALLED:
             self._endpoints.record_failure(state, read_clock())
         return self._drop_reply(course, state, f"stream {end.value}")
 
+    def _should_leave(self, course: _Course, state: EndpointState) -> bool:
+        """Tell whether a stream goes on at another engine, and pay for it from the budget.
+
+        An engine that goes on to another version takes nothing new until its last stream has
+        ended, 1 to 3 s, and all of them do so within two seconds. Its streams go on elsewhere in
+        the same answer where that takes no longer than callers put up with between two events.
+        """
+        if not state.gives_up(read_clock()):
+            return False
+        if not self._may_repeat(course, course.attempts) or course.left < LEAVE_LEFT_SECONDS:
+            return False
+        tried = {*course.tried, state.endpoint.agent_id}
+        seconds = self._gate.predict_elsewhere(_build_ask(course, read_clock()), tried)
+        if seconds > course.rule.gap_aim * LEAVE_SHARE:
+            return False
+        if not self._budget.spend(course.service.name, read_clock()):
+            return False
+        note(
+            _LOG,
+            "stream leaves",
+            request=course.request.request_id,
+            endpoint=state.endpoint.agent_id,
+            predicted_ms=round(seconds * 1000),
+            after=course.pump.last,
+        )
+        return True
+
     def _note_first_event(self, course: _Course) -> None:
         """Learn from first attempts only; others were late before they were sent."""
         if not course.spent and course.attempts == 1:
@@ -524,6 +562,19 @@
         )
 
 
+def _build_ask(course: _Course, since: float) -> Ask:
+    return Ask(
+        service=course.service,
+        rank=course.rank,
+        prompt_tokens=course.request.prompt_tokens,
+        since=since,
+        spent=course.spent,
+        aim=course.rule.aim,
+        deadline=course.deadline,
+        begun=course.pump.begun,
+    )
+
+
 def _measure_first(course: _Course | None) -> int | None:
     """Return the milliseconds from arrival to a stream's first event, if it had one."""
     if course is None or not course.pump.begun:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -10,12 +10,14 @@
 from wrenloft_policy import (
     AIM_SHARE_MOST,
     HOLD_SHARE,
+    LATE_SHARE,
     EndpointLoad,
     Prediction,
     Verdict,
     WantedVersion,
     adjust_aim_share,
     choose_endpoint,
+    count_room,
     count_seconds,
     decide_turn,
     estimate_unseen,
@@ -24,6 +26,7 @@
 )
 from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoints, EndpointState
+from wrenloft_routing._loads import Line
 from wrenloft_routing._table import BackendService
 
 WORK_SECONDS = 0.03
@@ -32,12 +35,17 @@
 _WORK_WEIGHT = 0.05
 """Weight of one answer in the running mean: the last 20 answers count most."""
 
+SHORT_SECONDS = 0.4
+"""How long after a refusal of a request that could have been in time none that is late is sent.
+Late ones wait for a second and longer, others for a quarter of one: whenever engines came back,
+those that waited took every place at once, and what came meanwhile was late or refused (a loss of
+power: 29 of 58 first events in the second after the first engines were back)."""
 
 _LEAST_WAIT = 0.005
 """Shortest pause between two looks at the endpoints, in seconds."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class Ask:
     """A request that wants an endpoint.
 
@@ -46,6 +54,9 @@
     :param spent: seconds from the caller's first attempt until then.
     :param aim: seconds from ``since`` within which it has its full worth.
     :param deadline: when nobody waits any more.
+    :param begun: whether the caller has part of the answer; it then goes before all others and
+        is refused only if nobody can go on.
+    :param not_before: until when it leaves the room that there is to others that wait.
     """
 
     service: BackendService
@@ -55,11 +66,20 @@
     spent: float
     aim: float
     deadline: float
+    begun: bool = False
+    not_before: float = 0.0
 
     @property
     def order(self) -> tuple[int, bool]:
         """What goes first: the most urgent, and of these those that can still be in time."""
-        return self.rank, self.spent > self.aim * HOLD_SHARE
+        if self.begun:
+            return -1, False
+        return self.rank, self.is_late
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the answer comes late in any case."""
+        return not self.begun and self.spent > self.aim * HOLD_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +111,7 @@
 
     :param version_seconds: from naming a version until requests may begin on it only.
     :param count_nodes: returns how many live entry nodes send to the same endpoints.
+    :param tell_pause: returns the seconds until other nodes have heard of what was sent here.
     """
 
     def __init__(
@@ -99,6 +120,7 @@
         random: Random,
         version_seconds: float,
         count_nodes: Callable[[], int] = lambda: 1,
+        tell_pause: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._endpoints = endpoints
         self._random = random
@@ -108,6 +130,8 @@
         self._aim_shares: dict[ServiceName, float] = {}
         self._wanted: dict[str, list[WantedVersion]] = {}
         self._count_nodes = count_nodes
+        self._tell_pause = tell_pause
+        self._refused_at: dict[ServiceName, float] = {}
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
         """Take the time that a plain service needed for an answer."""
@@ -153,6 +177,20 @@
         dues = [each.seen_at + self._version_seconds for each in wanted if each.number > version]
         return min(dues, default=float("inf")) - now
 
+    def predict_elsewhere(self, ask: Ask, tried: Collection[AgentId]) -> float:
+        """Return the seconds to a next event if a stream went on elsewhere; infinite if it can't.
+
+        What waits at an engine does not count: it takes a stream that goes on before that.
+        """
+        now = read_clock()
+        able = self._list_able(ask.service, tried, now)
+        loads = [
+            replace(each, waiting=0, sent_since=0, unseen=0.0, unread_tokens=0.0)
+            for each in self._measure(able, ask.service, now)
+        ]
+        choice = choose_endpoint(loads, ask.service.engine, ask.prompt_tokens, 0.0, self._random)
+        return inf if choice is None else choice.prediction.total
+
     async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
         """Return an endpoint with room, waiting a moment for one if it must."""
         line = self._waiting.setdefault(ask.service.name, [])
@@ -182,12 +220,14 @@
         if choice is not None:
             needed = count_seconds(choice.prediction, ask.service.engine)
             least = self._measure_least(ask, work)
+        if self._must_yield(ask, loads, good, now):
+            urgent = True
         verdict = decide_turn(
             None if urgent else needed,
             now - ask.since + ask.spent,
             ask.aim,
             ask.deadline - now,
-            limited=ask.service.engine is not None,
+            limited=ask.service.engine is not None and not ask.begun,
             spent=ask.spent,
             aim_share=aim_share,
             least=least,
@@ -200,12 +240,57 @@
             version = chosen.version if insisted else None
             return Placed(chosen.state, choice.prediction, len(able), version, chosen.chain)
         if verdict is Verdict.REFUSE:
+            if not ask.is_late:
+                self._refused_at[ask.service.name] = now
             known = len(self._endpoints.of_service(ask.service.name))
             if choice is None:
                 return Refused(f"none of {known} endpoints can take it", 0)
             return Refused(f"best of {len(able)} needs {needed:.3f} s", len(able))
         return None
 
+    def _must_yield(self, ask: Ask, loads: Sequence[EndpointLoad], good: float, now: float) -> bool:
+        """Tell whether a request leaves what room there is to others that wait, here or elsewhere.
+
+        Answers an engine that is back while many wait: all nodes saw it idle at the same moment,
+        and 21 requests reached it within a twentieth of a second, of which a third were in time.
+        Each goes with the chance that lets in as many as there is room for, until the nodes have
+        heard of one another's sends.
+        """
+        engine = ask.service.engine
+        if engine is None or ask.begun:
+            return False
+        if now < ask.not_before:
+            return True
+        line = self._endpoints.others.line_of(ask.service.name) + self._count_line(ask.service.name)
+        if ask.is_late:
+            if line.fresh or self._is_short(ask.service.name, now):
+                return True
+            good, waiting = ask.aim * LATE_SHARE, line.late
+        else:
+            waiting = line.fresh
+        if waiting <= 1:
+            return False
+        room = sum(count_room(each, engine, good) for each in loads)
+        if self._random.random() < room / waiting:
+            return False
+        ask.not_before = now + self._tell_pause()
+        return True
+
+    def _count_line(self, service: ServiceName) -> Line:
+        line = self._waiting.get(service, ())
+        late = sum(each.is_late for each in line)
+        return Line(len(line) - late, late)
+
+    def list_lines(self) -> dict[ServiceName, Line]:
+        """Return what waits here for each service; other nodes are told of it."""
+        return {
+            service: self._count_line(service) for service, line in self._waiting.items() if line
+        }
+
+    def _is_short(self, service: ServiceName, now: float) -> bool:
+        """Tell whether a request that could have been in time was refused a moment ago."""
+        return now - self._refused_at.get(service, -inf) < SHORT_SECONDS
+
     def _measure_least(self, ask: Ask, work: float) -> float:
         """Return the seconds that count against the aim at an idle endpoint."""
         idle = EndpointLoad("idle", slots=1, running=0, waiting=0, sent_since=0, distance=0)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wrenloft_core import AgentId, NodeId
+from wrenloft_core import AgentId, NodeId, ServiceName
 
 HEARD_SECONDS = 1.0
 """How long another node's word holds without a further one; it says something every 0.4 s."""
@@ -39,6 +39,33 @@
 NOTHING = InProgress()
 
 
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Requests that wait at entry nodes for room at a service's endpoints.
+
+    :param fresh: that can still be in time.
+    :param late: that cannot.
+    """
+
+    fresh: int = 0
+    late: int = 0
+
+    def __add__(self, other: "Line") -> "Line":
+        return Line(self.fresh + other.fresh, self.late + other.late)
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What a node tells the others.
+
+    :param in_progress: at each endpoint where it has changed since the node's last word.
+    :param lines: of each service for which requests wait there now.
+    """
+
+    in_progress: dict[AgentId, InProgress]
+    lines: dict[ServiceName, Line]
+
+
 class OtherNodes:
     """What the other entry nodes have in progress, by endpoint.
 
@@ -52,22 +79,25 @@
         self._told: dict[NodeId, dict[AgentId, InProgress]] = {}
         self._heard_at: dict[NodeId, float] = {}
         self._sums: dict[AgentId, InProgress] = {}
+        self._lines: dict[NodeId, dict[ServiceName, Line]] = {}
 
-    def record(self, node: NodeId, told: dict[AgentId, InProgress], now: float) -> None:
-        """Take what a node has in progress at the endpoints where that has changed."""
+    def record(self, node: NodeId, word: Word, now: float) -> None:
+        """Take a node's word."""
         known = self._told.setdefault(node, {})
-        for agent_id, load in told.items():
+        for agent_id, load in word.in_progress.items():
             self._change(agent_id, load - known.get(agent_id, NOTHING))
             if load == NOTHING:
                 known.pop(agent_id, None)
             else:
                 known[agent_id] = load
+        self._lines[node] = word.lines
         self._heard_at[node] = now
 
     def forget(self, node: NodeId) -> None:
         """Drop a node's word: it begins anew, or is silent."""
         for agent_id, load in self._told.pop(node, {}).items():
             self._change(agent_id, NOTHING - load)
+        self._lines.pop(node, None)
         self._heard_at.pop(node, None)
 
     def drop_silent(self, now: float) -> None:
@@ -84,6 +114,11 @@
         """Return what all other nodes have in progress at an endpoint."""
         return self._sums.get(agent_id, NOTHING)
 
+    def line_of(self, service: ServiceName) -> Line:
+        """Return what waits at all other nodes for a service."""
+        lines = (each[service] for each in self._lines.values() if service in each)
+        return sum(lines, Line())
+
     def _change(self, agent_id: AgentId, by: InProgress) -> None:
         total = self._sums.get(agent_id, NOTHING) + by
         if total == NOTHING:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
@@ -8,10 +8,10 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, web
 
-from wrenloft_core import AgentId, NodeId, RegionName, note, read_clock
+from wrenloft_core import AgentId, NodeId, RegionName, ServiceName, note, read_clock
 from wrenloft_policy import LayerSpan
 from wrenloft_routing._endpoints import Endpoints, EngineReport
-from wrenloft_routing._loads import NOTHING, InProgress
+from wrenloft_routing._loads import NOTHING, InProgress, Line, Word
 from wrenloft_routing._members import Member, Members
 
 _LOG = logging.getLogger(__name__)
@@ -82,11 +82,20 @@
 
 
 class LoadRoutes:
-    """Tells other entry nodes what this one has in progress at each endpoint."""
+    """Tells other entry nodes what this one has in progress, and what waits here.
 
-    def __init__(self, endpoints: Endpoints, members: Members) -> None:
+    :param list_lines: returns what waits here for each service.
+    """
+
+    def __init__(
+        self,
+        endpoints: Endpoints,
+        members: Members,
+        list_lines: Callable[[], dict[ServiceName, Line]],
+    ) -> None:
         self._endpoints = endpoints
         self._members = members
+        self._list_lines = list_lines
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes for other entry nodes."""
@@ -96,6 +105,7 @@
         response = web.StreamResponse()
         await response.prepare(request)
         told: dict[AgentId, InProgress] = {}
+        told_lines: dict[ServiceName, Line] = {}
         told_at = read_clock()
         try:
             while True:
@@ -105,28 +115,43 @@
                     for agent_id in told.keys() | current.keys()
                     if told.get(agent_id) != current.get(agent_id)
                 }
-                if changed or read_clock() - told_at > LOADS_IDLE_SECONDS:
-                    told, told_at = current, read_clock()
-                    await response.write(_encode_loads(changed))
-                await asyncio.sleep(max(1, len(self._members) - 1) / LOADS_PER_SECOND)
+                lines = self._list_lines()
+                silent = read_clock() - told_at > LOADS_IDLE_SECONDS
+                if changed or lines != told_lines or silent:
+                    told, told_lines, told_at = current, lines, read_clock()
+                    await response.write(_encode_word(Word(changed, lines)))
+                await asyncio.sleep(tell_pause(len(self._members)))
         except ConnectionResetError as error:
             note(_LOG, "asker gone", path=request.path, peer=request.remote, reason=str(error))
             raise asyncio.CancelledError from error
 
 
-def _encode_loads(loads: dict[AgentId, InProgress]) -> bytes:
+def tell_pause(nodes: int) -> float:
+    """Return the seconds between two words of a node to each other one.
+
+    :param nodes: entry nodes, this one included.
+    """
+    return max(1, nodes - 1) / LOADS_PER_SECOND
+
+
+def _encode_word(word: Word) -> bytes:
     rows = [
         [agent_id, load.unread, load.unread_tokens, load.running]
-        for agent_id, load in loads.items()
+        for agent_id, load in word.in_progress.items()
     ]
-    return json.dumps(rows).encode() + b"\n"
+    lines = [[service, line.fresh, line.late] for service, line in word.lines.items()]
+    return json.dumps([rows, lines], separators=(",", ":")).encode() + b"\n"
 
 
-def _decode_loads(line: bytes) -> dict[AgentId, InProgress]:
-    return {
-        AgentId(agent_id): InProgress(int(unread), int(tokens), int(running))
-        for agent_id, unread, tokens, running in json.loads(line)
-    }
+def _decode_word(data: bytes) -> Word:
+    rows, lines = json.loads(data)
+    return Word(
+        {
+            AgentId(agent_id): InProgress(int(unread), int(tokens), int(running))
+            for agent_id, unread, tokens, running in rows
+        },
+        {ServiceName(name): Line(int(fresh), int(late)) for name, fresh, late in lines},
+    )
 
 
 class LoadFollower:
@@ -173,7 +198,7 @@
             # The other side begins anew with all that it has in progress.
             self._endpoints.others.forget(node)
             async for line in response.content:
-                self._endpoints.others.record(node, _decode_loads(line), read_clock())
+                self._endpoints.others.record(node, _decode_word(line), read_clock())
                 heard = True
         return heard
 
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -143,6 +143,7 @@
         _rule("unsafe", RuleKind.UNSAFE, PLAIN),
         _rule("public", RuleKind.SAFE, PLAIN, public=True),
         _rule("stream", RuleKind.STREAM, ENGINES, resumable=True, gap_aim=0.05),
+        _rule("long", RuleKind.STREAM, ENGINES, resumable=True, gap_aim=0.4),
         _rule("fixed", RuleKind.STREAM, ENGINES),
     ),
     services={
@@ -401,6 +402,68 @@
         assert bench.sink.aborted
         assert not bench.sink.ended
 
+    @pytest.mark.parametrize(("rule", "attempts"), [("long", 2), ("fixed", 1)])
+    async def test_stream_leaves_an_engine_that_gives_up_its_version(
+        self, rule: str, attempts: int
+    ) -> None:
+        """An engine goes on to the next version, for which it waits until its last stream ends.
+
+        Its streams go on at another engine in the same answer after their next event, so that it
+        is back within the time of a load; those that may not be resumed end where they are.
+        """
+        bench = Bench()
+
+        def give_up_version() -> FakeReply:
+            report = EngineReport(4, 0, 1, True, 1.0, None)
+            address = bench.attempts[-1].endpoint.address
+            bench.endpoints.record_report(address, report, read_clock())
+            return FakeReply([_events(0), _events(1)], is_stream=True)
+
+        bench.outcomes = [give_up_version, FakeReply([_events(1)], is_stream=True)]
+        assert isinstance(await bench.ask(rule), Done)
+        assert len(bench.attempts) == attempts
+        assert bench.sink.body == _events(0, 1)
+
+    async def test_stream_stays_while_no_other_engine_has_room(self) -> None:
+        """All other engines are full; moved there, the stream would pause for longer than allowed.
+
+        It ends where it is.
+        """
+        bench = Bench()
+
+        def give_up_version() -> FakeReply:
+            for number in range(3):
+                report = EngineReport(40, 0, 1, False, 1.0)
+                bench.endpoints.record_report(f"a{number}:1", report, read_clock())
+            report = EngineReport(4, 0, 1, True, 1.0, None)
+            address = bench.attempts[-1].endpoint.address
+            bench.endpoints.record_report(address, report, read_clock())
+            return FakeReply([_events(0), _events(1)], is_stream=True)
+
+        bench.gate._count_nodes = lambda: 2  # another node is not heard, so reports count
+        bench.outcomes = [give_up_version]
+        assert isinstance(await bench.ask("long"), Done)
+        assert len(bench.attempts) == 1
+
+    async def test_stream_that_left_and_finds_nobody_is_aborted(self) -> None:
+        """The engine that a stream leaves for refuses it, and no further try is allowed.
+
+        Its caller has had a whole head and an event: a second answer behind them, or a word that
+        nothing has run, would be false. The connection ends, and cannot be taken for complete.
+        """
+        bench = Bench()
+
+        def give_up_version() -> FakeReply:
+            report = EngineReport(4, 0, 1, True, 1.0, None)
+            address = bench.attempts[-1].endpoint.address
+            bench.endpoints.record_report(address, report, read_clock())
+            return FakeReply([_events(0), _events(1)], is_stream=True)
+
+        bench.outcomes = [give_up_version, Rejected("status 503", mistaken=False)]
+        outcome = await bench.ask("long")
+        assert isinstance(outcome, Unknown)
+        assert bench.sink.aborted and not bench.sink.ended
+
     async def test_stream_that_may_not_resume_is_aborted(self) -> None:
         """The caller sees a broken connection, and nothing is sent a second time."""
         bench = Bench(FakeReply([_events(0), ReplyBrokenError("cut")], is_stream=True))
--- a/packages/wrenloft-routing/tests/test_loads.py
+++ b/packages/wrenloft-routing/tests/test_loads.py
@@ -1,12 +1,40 @@
 """Tests of what entry nodes tell one another of their requests in progress."""
 
+import asyncio
+from random import Random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wrenloft_core import AgentId, NodeId, PlaceName, RegionName, ServiceName
-from wrenloft_routing import Endpoint, Endpoints, EngineReport, InProgress, OtherNodes
+from wrenloft_core import (
+    AgentId,
+    ModelName,
+    NodeId,
+    PlaceName,
+    RegionName,
+    ServiceName,
+    read_clock,
+)
+from wrenloft_policy import EngineProfile
+from wrenloft_routing import (
+    Ask,
+    BackendService,
+    Endpoint,
+    Endpoints,
+    EngineReport,
+    Gate,
+    InProgress,
+    Line,
+    OtherNodes,
+    Placed,
+    Word,
+)
 
 ENGINE = AgentId("e")
+SERVICE = ServiceName("s")
+MODEL = ModelName("m")
+PROFILE = EngineProfile(16, 6, 0.00673, 0.00002, 30600.0, 2048, 977, 120)
+BACKEND = BackendService(SERVICE, 10, PROFILE, MODEL, layers=16)
 NODES = [NodeId("n1"), NodeId("n2"), NodeId("n3")]
 
 loads = st.builds(
@@ -25,7 +53,7 @@
         """However often nodes speak, each counts once, with what it said last."""
         others = OtherNodes()
         for node, load in words:
-            others.record(node, {ENGINE: load}, 0.0)
+            others.record(node, Word({ENGINE: load}, {}), 0.0)
         last = dict(words)
         total = sum(last.values(), InProgress())
         assert others.at(ENGINE) == total
@@ -36,8 +64,8 @@
         Counted for ever, the engine would look full to all others, and callers would be refused.
         """
         others = OtherNodes()
-        others.record(NODES[0], {ENGINE: InProgress(running=16)}, 100.0)
-        others.record(NODES[1], {ENGINE: InProgress(running=2)}, 100.9)
+        others.record(NODES[0], Word({ENGINE: InProgress(running=16)}, {}), 100.0)
+        others.record(NODES[1], Word({ENGINE: InProgress(running=2)}, {}), 100.9)
         others.drop_silent(101.5)
         assert (others.at(ENGINE).running, others.count_heard()) == (2, 1)
 
@@ -63,7 +91,7 @@
         endpoints = self._endpoints()
         (state,) = endpoints.of_service(ServiceName("s"))
         endpoints.record_report("e:1", EngineReport(0, 0, 1, False, 1.0), 100.0)
-        endpoints.others.record(NODES[0], {ENGINE: InProgress(5, 6000, 8)}, 100.0)
+        endpoints.others.record(NODES[0], Word({ENGINE: InProgress(5, 6000, 8)}, {}), 100.0)
         state.change(InProgress(unread=1, unread_tokens=500))
         load = endpoints.measure(state, 100.0, all_heard=True)
         assert (load.running, load.waiting, load.unread_tokens) == (8, 6, 6500)
@@ -73,6 +101,75 @@
         endpoints = self._endpoints()
         (state,) = endpoints.of_service(ServiceName("s"))
         endpoints.record_report("e:1", EngineReport(12, 3, 1, False, 1.0), 100.0)
-        endpoints.others.record(NODES[0], {ENGINE: InProgress(running=5)}, 100.0)
+        endpoints.others.record(NODES[0], Word({ENGINE: InProgress(running=5)}, {}), 100.0)
         load = endpoints.measure(state, 100.0, all_heard=False)
         assert (load.running, load.waiting) == (12, 3)
+
+
+class TestContention:
+    """Tests of many requests at many nodes that wait for the same few places."""
+
+    NODES = 9
+    WAITING = 4
+
+    @classmethod
+    def _gates(cls) -> list[Gate]:
+        """Build nodes that have heard of one another's lines, and see one idle engine."""
+        names = [NodeId(f"n{number}") for number in range(cls.NODES)]
+        gates = []
+        for own in names:
+            endpoints = Endpoints(PlaceName("p"), RegionName("r"))
+            endpoint = Endpoint(
+                ENGINE, SERVICE, "e:1", PlaceName("p"), RegionName("r"), 16, versions={MODEL: 1}
+            )
+            endpoints.update([endpoint], trusted=True)
+            for other in names:
+                if other != own:
+                    line = {SERVICE: Line(fresh=cls.WAITING)}
+                    endpoints.others.record(other, Word({}, line), read_clock())
+            gates.append(
+                Gate(endpoints, Random(own), 8.0, lambda: cls.NODES, tell_pause=lambda: 10.0)
+            )
+        return gates
+
+    @staticmethod
+    def _ask(spent: float = 0.0) -> Ask:
+        now = read_clock()
+        return Ask(BACKEND, 1, 1000.0, now, spent, aim=0.4, deadline=now + 6.0)
+
+    async def test_engine_that_is_back_is_not_flooded(self) -> None:
+        """An engine is back while 36 requests wait at nine nodes, which all see it idle.
+
+        Each node counts its own sends only, and two or three a node look harmless; 21 of them
+        within a twentieth of a second had a third of their answers in time. Now about as many go
+        as there is room for, and the others stay in line until the nodes have heard.
+        """
+        sent = 0
+        for gate in self._gates():
+            asks = [self._ask() for _ in range(self.WAITING)]
+            tasks = [asyncio.create_task(gate.place(each, ())) for each in asks]
+            await asyncio.sleep(0.02)
+            sent += sum(task.done() and isinstance(task.result(), Placed) for task in tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        assert 3 <= sent <= 14
+
+    async def test_late_request_waits_while_another_node_has_fresh_ones(self) -> None:
+        """An engine is back; here a caller waits who was refused before, elsewhere fresh ones.
+
+        Its answer is late whenever it comes, so the place goes to those that can be in time.
+        """
+        gate = self._gates()[0]
+        task = asyncio.create_task(gate.place(self._ask(spent=1.5), ()))
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def test_stream_that_goes_on_elsewhere_does_not_wait(self) -> None:
+        """Its caller has part of the answer and counts the pause."""
+        ask = self._ask()
+        ask.begun = True
+        async with asyncio.timeout(1.0):
+            assert isinstance(await self._gates()[0].place(ask, ()), Placed)
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from wrenloft_core import ModelName, Pacer, note, read_clock
+from wrenloft_policy import LayerSpan
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
 from wrenloft_swarm._ports import EngineState, Urgency
 
@@ -51,10 +52,11 @@
     """The engine's last report, and a signal when there is a newer one.
 
     ``yielding`` is set while requests are kept away from an engine that still serves, because it
-    is about to go on to another version.
+    is about to go on to another version. ``service_changed`` tells of a change of what it serves.
     """
 
     def __init__(self) -> None:
+        self.service_changed = asyncio.Event()
         self.state: EngineState | None = None
         self.at = 0.0
         self.yielding = False
@@ -66,15 +68,27 @@
             self.yielding = yielding
             self.changed.set()
             self.changed = asyncio.Event()
+            self._tell_service_changed()
 
     def set(self, state: EngineState | None) -> None:
         """Take a report, or none if the engine did not answer."""
         differs = state != self.state
+        serves_other = _describe_service(state) != _describe_service(self.state)
         self.state = state
         self.at = read_clock()
         if differs:
             self.changed.set()
             self.changed = asyncio.Event()
+        if serves_other:
+            self._tell_service_changed()
+
+    def _tell_service_changed(self) -> None:
+        self.service_changed.set()
+        self.service_changed = asyncio.Event()
+
+
+def _describe_service(state: EngineState | None) -> tuple[int, LayerSpan | None] | None:
+    return None if state is None else (state.version, state.span)
 
 
 class SwarmRoutes:
@@ -118,15 +132,18 @@
         response = web.StreamResponse()
         await response.prepare(request)
         while not self._is_stopping():
-            changed = self._latest.changed
+            changed, service_changed = self._latest.changed, self._latest.service_changed
             if (state := self._latest.state) is not None:
                 fields = asdict(state)
                 del fields["sequence"]
                 if self._latest.yielding:
                     fields["span"] = None
                 await response.write(json.dumps(fields).encode() + b"\n")
-            await asyncio.sleep(pause)
-            await _wait(changed, REPORT_IDLE_SECONDS - pause)
+            # What an engine serves is told at once: each tenth of a second later, requests go to
+            # one that takes none, or callers are refused though one is back.
+            await _wait(service_changed, pause)
+            if not service_changed.is_set():
+                await _wait(changed, REPORT_IDLE_SECONDS - pause)
         return response
 
     async def _stream_held(self, request: web.Request) -> web.StreamResponse:
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -502,6 +502,25 @@
                 await asyncio.sleep(0.02)
         assert engine.version == 2
 
+    async def test_requests_are_kept_away_while_the_version_after_is_fetched(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Two versions are named within seconds; the first is held and about to be loaded.
+
+        Judged by the one that is fetched meanwhile, the engine looked far from any load: requests
+        were sent to it until its order, and rejected (24 within a second at ten engines).
+        """
+        rig = Rig(stack, session, FakeEngine(version=1))
+        rig.origin.down = True
+        upkeep = rig.upkeep
+        upkeep.name_version(2)
+        upkeep.name_version(3)
+        holdings = upkeep._means.holdings
+        _fill(holdings.open(VersionName(MODEL, 2), _digests(2)), range(COUNT))
+        holdings.open(VersionName(MODEL, 3), _digests(3))
+        upkeep._current = upkeep._newest
+        assert upkeep._is_about_to_load(EngineState(0, 0, 1, False, 1.0, 0, LayerSpan(0, LAYERS)))
+
     async def test_empty_engine_gets_the_first_version(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
