Let in what there is room for, late requests in what is left over; swaps at once again

Ruled out: engines kept out as suspect alone; with those counted as room the refusals stayed.

Change: room is counted by the whole aim; fresh requests share it by chance, late ones what those leave over; the least part of the aim is 0.75. Streams stay at engines that go on to a version, and swaps begin at once again in two groups.

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -21,6 +21,7 @@
     pick_return,
     predict_answer,
     rank_urgency,
+    share_room,
 )
 from wrenloft_policy._engine import EngineProfile, Prediction, predict_first_event
 from wrenloft_policy._entries import EntryNode, choose_entries
@@ -142,5 +143,6 @@
     "rank_owners",
     "rank_turn",
     "rank_urgency",
+    "share_room",
     "split_layers",
 ]
--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -9,10 +9,11 @@
 from wrenloft_policy._engine import EngineProfile, Prediction, predict_first_event
 
 AIM_SHARE_MOST = 0.9
-AIM_SHARE_LEAST = 0.5
-"""Bounds of the part of the aim that a prediction may use up. Below the least, an endpoint that
-reads one usual prompt takes nothing more: with 0.25, nodes still refused a quarter of all requests
-two seconds after an outage (49 of 191 in one play)."""
+AIM_SHARE_LEAST = 0.75
+"""Bounds of the part of the aim that a prediction may use up. The part falls whenever engines swap
+or are lost, and takes seconds to rise again: with 0.25 as the least, nodes still refused a quarter
+of all requests two seconds after an outage (49 of 191 in one play), and with 0.5, since nodes know
+one another's sends, engines stood idle beside 44 refused requests in a second."""
 
 AIM_SHARE_STEP = 0.15
 """How fast that part moves: at five first events a second and node, of which a third are late,
@@ -200,6 +201,20 @@
     return 1 + int(spare / each)
 
 
+def share_room(room: int, fresh: int, late: int, *, late_ask: bool) -> float:
+    """Return the chance with which each waiting request goes, so that about ``room`` of them do.
+
+    What comes late in any case goes in what those that can be in time leave over.
+
+    :param fresh: requests that wait anywhere and can be in time.
+    :param late: requests that wait anywhere and cannot.
+    :param late_ask: whether the chance is that of a late one.
+    """
+    if late_ask:
+        return max(0, room - fresh) / max(1, late)
+    return room / max(1, fresh)
+
+
 def decide_turn(
     predicted: float | None,
     elapsed: float,
--- a/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_versions.py
@@ -16,15 +16,15 @@
 its first event is predicted within half a second, and given up if it has not begun in time."""
 
 SWAP_GROUPS = 2
-"""Groups of agents that fetch a version one before the other."""
+"""Groups of engines that go on to a new version one after the other."""
 
-SWAP_LATEST_SECONDS = 1.2
-"""Before the deadline, by which every engine is ordered to go on: requests insist on the version
-``BEGIN_SECONDS`` before the deadline, and an engine loads in about as long as that leaves."""
+SWAP_GAP_SECONDS = 1.2
+"""Between two groups. An engine takes nothing new from its order until its last stream has ended
+and its layers are loaded: 0.4 to 1.5 s at half load, read off a calm day's reports."""
 
-SWAP_SPREAD_SECONDS = 1.9
-"""Between the first engine and the last, where time allows: twice what one is out of service, so
-that half of them serve at any moment, and no longer, since the next version may follow."""
+SWAP_LATEST_SECONDS = 2.6
+"""Before the deadline, by which every engine is ordered: a stream may run for 1.5 s more, and
+requests insist on the new version ``BEGIN_SECONDS`` before the deadline."""
 
 LATE_SECONDS = 1.2
 """How long after its deadline a whole version may come before it is fetched in parts. Below that,
@@ -77,19 +77,18 @@
     return now >= wanted.seen_at + allowed - BEGIN_SECONDS
 
 
-def pick_swap_time(turn: float, ready_at: float, named_at: float, allowed: float) -> float:
+def pick_swap_time(group: int, ready_at: float, named_at: float, allowed: float) -> float:
     """Return when an engine that serves an older version is ordered to go on to a new one.
 
     Answers a new version under load: ordered as soon as each is ready, all engines stop taking
-    requests within the same second, and callers find none. Spread over the time that is left,
-    some serve at any moment.
+    requests within the same second, and callers find none.
 
-    :param turn: 0 for the engine that goes first, 1 for the last.
-    :param ready_at: when the version was whole here.
+    :param group: 0 for the engines that go first.
+    :param ready_at: when the first part of the version was staged.
     :param allowed: seconds from the naming until requests begin on the new version only.
     """
     latest = named_at + allowed - SWAP_LATEST_SECONDS
-    return ready_at + turn * min(SWAP_SPREAD_SECONDS, max(0.0, latest - ready_at))
+    return max(ready_at, min(ready_at + group * SWAP_GAP_SECONDS, latest))
 
 
 def is_whole_late(wanted: WantedVersion, allowed: float, now: float, fetch_seconds: float) -> bool:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
@@ -1,7 +1,5 @@
 """This node's part of the budget for second tries that all nodes share."""
 
-from math import exp
-
 from wrenloft_core import ServiceName
 
 SHARE_OF_SLACK = 0.6
@@ -12,24 +10,11 @@
 """Part of the ratio that is used: requests are counted over a longer time than tries."""
 
 
-KEPT_WINDOWS = 0.5
-"""Windows for which what requests earned is kept. Second tries come in bursts, when an engine ends
-or its streams go on elsewhere; with half a window kept, a burst and all that is earned in the same
-window stay within the shared allowance (0.9 of it at 9 nodes with 10 requests a second each)."""
-
-
 class _Account:
-    """Second tries of one service.
-
-    :param slack: of this node's part of the allowance that holds whatever the requests.
-    :param earned: for requests, fading with the time that they are kept.
-    """
-
-    __slots__ = ("at", "earned", "slack")
+    __slots__ = ("at", "tokens")
 
-    def __init__(self, slack: float, at: float) -> None:
-        self.slack = slack
-        self.earned = 0.0
+    def __init__(self, tokens: float, at: float) -> None:
+        self.tokens = tokens
         self.at = at
 
 
@@ -57,22 +42,19 @@
         account = self._accounts.get(service)
         if account is None:
             account = self._accounts[service] = _Account(most, now)
-        passed = now - account.at
-        account.slack = min(most, account.slack + passed * most / self._window)
-        account.earned *= exp(-passed / (self._window * KEPT_WINDOWS))
+        refill = (now - account.at) * self._slack / self.nodes / 2 / self._window
+        account.tokens = min(most, account.tokens + refill)
         account.at = now
         return account
 
     def earn(self, service: ServiceName, now: float) -> None:
         """Count one request for a service."""
-        self._account(service, now).earned += self._ratio
+        self._account(service, now).tokens += self._ratio
 
     def spend(self, service: ServiceName, now: float) -> bool:
         """Take one second try, if there is one left."""
         account = self._account(service, now)
-        if account.slack + account.earned < 1.0:
+        if account.tokens < 1.0:
             return False
-        from_earned = min(1.0, account.earned)
-        account.earned -= from_earned
-        account.slack -= 1.0 - from_earned
+        account.tokens -= 1.0
         return True
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -111,13 +111,6 @@
         """Whether its agent reported lately."""
         return self.report is not None and now - self.reported_at < REPORT_STALE_SECONDS
 
-    def gives_up(self, now: float) -> bool:
-        """Tell whether the engine is about to give up the version that its streams run on."""
-        report = self.report
-        if report is None or not self.has_fresh_report(now):
-            return False
-        return report.version > 0 and report.span is None
-
     def note_sent(self, now: float) -> None:
         """Take that a request was sent to it."""
         self.sent_at.append(now)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -82,9 +82,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The request was sent, and what became of it is not known."""
+    """The request was sent, and what became of it is not known.
+
+    :param at_fault: whether that speaks against the endpoint.
+    """
 
     reason: str
+    at_fault: bool = True
 
 
 class ReplyBrokenError(Exception):
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -56,13 +56,6 @@
 """By which the longest patience of a rule fades with each request, so that a shorter one in a new
 configuration is learnt within some hundred requests."""
 
-LEAVE_SHARE = 0.6
-"""Part of the aimed pause that the way to another engine may be predicted to take. Three in ten of
-first events come later than 1.5 times the prediction while engines are busy."""
-
-LEAVE_LEFT_SECONDS = 0.5
-"""Time left below which a stream stays: it ends by itself before the engine could go on."""
-
 BEGIN_MARGIN_SECONDS = 0.3
 """Before a version's deadline, by which a request that has not begun is given up: its close reaches
 an endpoint behind chunks of weights in 0.2 s at the worst."""
@@ -254,7 +247,8 @@
         course.attempts += 1
         if isinstance(result, Rejected):
             return self._after_rejected(course, state, result, at_fault)
-        self._endpoints.record_failure(state, read_clock())
+        if result.at_fault:
+            self._endpoints.record_failure(state, read_clock())
         return self._after_lost(course, "send", result.reason)
 
     def _find_at_fault(
@@ -286,12 +280,10 @@
             async with asyncio.timeout(self._silence_limit(course, left)):
                 return await self._open(attempt)
         except TimeoutError:
-            now = read_clock()
-            if now >= course.begin_by:
+            if read_clock() >= course.begin_by:
                 # Given up here, ahead of a version's deadline: the endpoint did nothing wrong.
                 # Put down to it, every engine was kept out for 1.5 s after each swap.
-                return Lost("not begun before the version is due")
-            self._endpoints.record_failure(placed.state, now)
+                return Lost("not begun before the version is due", at_fault=False)
             return Lost("no answer in time")
 
     def _silence_limit(self, course: _Course, left: float) -> float:
@@ -345,7 +337,7 @@
 
     def _give_up(self, course: _Course, step: str, reason: str, candidates: int = 1) -> Outcome:
         """End a request that nobody runs; say "not run" only if that is certain."""
-        if course.may_have_run:
+        if course.may_have_run or course.pump.begun:
             return Unknown(step, reason, course.peer)
         if course.attempts or course.not_sent:
             retry_after = _CONNECT_RETRY_SECONDS
@@ -444,7 +436,6 @@
             deadline=course.deadline,
             resumable=self._may_repeat(course, course.attempts),
             on_begin=note_begun,
-            should_leave=lambda: self._should_leave(course, state),
         )
         if first and course.pump.begun:
             FIRST_SECONDS.observe(course.pump.begun_at - course.request.arrived)
@@ -457,43 +448,10 @@
             return Done(course.peer)
         if end is StreamEnd.DEADLINE:
             return Unknown("stream", "deadline passed", course.peer)
-        if end is StreamEnd.LEFT:
-            ATTEMPTS.labels("left").inc()
-            course.tried.add(state.endpoint.agent_id)
-            # Its caller has part of the answer: no way out may say that it has not run.
-            course.may_have_run = True
-            return None
         if end is StreamEnd.STALLED:
             self._endpoints.record_failure(state, read_clock())
         return self._drop_reply(course, state, f"stream {end.value}")
 
-    def _should_leave(self, course: _Course, state: EndpointState) -> bool:
-        """Tell whether a stream goes on at another engine, and pay for it from the budget.
-
-        An engine that goes on to another version takes nothing new until its last stream has
-        ended, 1 to 3 s, and all of them do so within two seconds. Its streams go on elsewhere in
-        the same answer where that takes no longer than callers put up with between two events.
-        """
-        if not state.gives_up(read_clock()):
-            return False
-        if not self._may_repeat(course, course.attempts) or course.left < LEAVE_LEFT_SECONDS:
-            return False
-        tried = {*course.tried, state.endpoint.agent_id}
-        seconds = self._gate.predict_elsewhere(_build_ask(course, read_clock()), tried)
-        if seconds > course.rule.gap_aim * LEAVE_SHARE:
-            return False
-        if not self._budget.spend(course.service.name, read_clock()):
-            return False
-        note(
-            _LOG,
-            "stream leaves",
-            request=course.request.request_id,
-            endpoint=state.endpoint.agent_id,
-            predicted_ms=round(seconds * 1000),
-            after=course.pump.last,
-        )
-        return True
-
     def _note_first_event(self, course: _Course) -> None:
         """Learn from first attempts only; others were late before they were sent."""
         if not course.spent and course.attempts == 1:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -23,6 +23,7 @@
     estimate_unseen,
     must_insist,
     predict_answer,
+    share_room,
 )
 from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoints, EndpointState
@@ -35,12 +36,6 @@
 _WORK_WEIGHT = 0.05
 """Weight of one answer in the running mean: the last 20 answers count most."""
 
-SHORT_SECONDS = 0.4
-"""How long after a refusal of a request that could have been in time none that is late is sent.
-Late ones wait for a second and longer, others for a quarter of one: whenever engines came back,
-those that waited took every place at once, and what came meanwhile was late or refused (a loss of
-power: 29 of 58 first events in the second after the first engines were back)."""
-
 _LEAST_WAIT = 0.005
 """Shortest pause between two looks at the endpoints, in seconds."""
 
@@ -131,7 +126,6 @@
         self._wanted: dict[str, list[WantedVersion]] = {}
         self._count_nodes = count_nodes
         self._tell_pause = tell_pause
-        self._refused_at: dict[ServiceName, float] = {}
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
         """Take the time that a plain service needed for an answer."""
@@ -177,20 +171,6 @@
         dues = [each.seen_at + self._version_seconds for each in wanted if each.number > version]
         return min(dues, default=float("inf")) - now
 
-    def predict_elsewhere(self, ask: Ask, tried: Collection[AgentId]) -> float:
-        """Return the seconds to a next event if a stream went on elsewhere; infinite if it can't.
-
-        What waits at an engine does not count: it takes a stream that goes on before that.
-        """
-        now = read_clock()
-        able = self._list_able(ask.service, tried, now)
-        loads = [
-            replace(each, waiting=0, sent_since=0, unseen=0.0, unread_tokens=0.0)
-            for each in self._measure(able, ask.service, now)
-        ]
-        choice = choose_endpoint(loads, ask.service.engine, ask.prompt_tokens, 0.0, self._random)
-        return inf if choice is None else choice.prediction.total
-
     async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
         """Return an endpoint with room, waiting a moment for one if it must."""
         line = self._waiting.setdefault(ask.service.name, [])
@@ -220,7 +200,7 @@
         if choice is not None:
             needed = count_seconds(choice.prediction, ask.service.engine)
             least = self._measure_least(ask, work)
-        if self._must_yield(ask, loads, good, now):
+        if self._must_yield(ask, loads, ask.aim * aim_share, now):
             urgent = True
         verdict = decide_turn(
             None if urgent else needed,
@@ -240,38 +220,36 @@
             version = chosen.version if insisted else None
             return Placed(chosen.state, choice.prediction, len(able), version, chosen.chain)
         if verdict is Verdict.REFUSE:
-            if not ask.is_late:
-                self._refused_at[ask.service.name] = now
             known = len(self._endpoints.of_service(ask.service.name))
             if choice is None:
                 return Refused(f"none of {known} endpoints can take it", 0)
             return Refused(f"best of {len(able)} needs {needed:.3f} s", len(able))
         return None
 
-    def _must_yield(self, ask: Ask, loads: Sequence[EndpointLoad], good: float, now: float) -> bool:
+    def _must_yield(
+        self, ask: Ask, loads: Sequence[EndpointLoad], limit: float, now: float
+    ) -> bool:
         """Tell whether a request leaves what room there is to others that wait, here or elsewhere.
 
         Answers an engine that is back while many wait: all nodes saw it idle at the same moment,
         and 21 requests reached it within a twentieth of a second, of which a third were in time.
         Each goes with the chance that lets in as many as there is room for, until the nodes have
         heard of one another's sends.
+
+        :param limit: seconds to a first event that are in time.
         """
         engine = ask.service.engine
         if engine is None or ask.begun:
             return False
         if now < ask.not_before:
             return True
-        line = self._endpoints.others.line_of(ask.service.name) + self._count_line(ask.service.name)
-        if ask.is_late:
-            if line.fresh or self._is_short(ask.service.name, now):
-                return True
-            good, waiting = ask.aim * LATE_SHARE, line.late
-        else:
-            waiting = line.fresh
-        if waiting <= 1:
+        line = self._count_line(ask.service.name)
+        line += self._endpoints.others.line_of(ask.service.name)
+        if line.fresh + line.late <= 1:
             return False
-        room = sum(count_room(each, engine, good) for each in loads)
-        if self._random.random() < room / waiting:
+        share = LATE_SHARE if ask.is_late else 1.0
+        room = sum(count_room(each, engine, limit * share) for each in loads)
+        if self._random.random() < share_room(room, line.fresh, line.late, late_ask=ask.is_late):
             return False
         ask.not_before = now + self._tell_pause()
         return True
@@ -287,10 +265,6 @@
             service: self._count_line(service) for service, line in self._waiting.items() if line
         }
 
-    def _is_short(self, service: ServiceName, now: float) -> bool:
-        """Tell whether a request that could have been in time was refused a moment ago."""
-        return now - self._refused_at.get(service, -inf) < SHORT_SECONDS
-
     def _measure_least(self, ask: Ask, work: float) -> float:
         """Return the seconds that count against the aim at an idle endpoint."""
         idle = EndpointLoad("idle", slots=1, running=0, waiting=0, sent_since=0, distance=0)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -20,7 +20,6 @@
     COMPLETE = "complete"
     BROKEN = "broke off"
     STALLED = "stalled"
-    LEFT = "left for another endpoint"
     DEADLINE = "deadline passed"
 
 
@@ -46,7 +45,6 @@
     deadline: float,
     resumable: bool,
     on_begin: Callable[[], None],
-    should_leave: Callable[[], bool] = lambda: False,
 ) -> StreamEnd:
     """Pass events on until the endpoint's stream ends.
 
@@ -57,7 +55,6 @@
     :param resumable: whether a stall after it may end this endpoint's stream; if not, its silence
         is borne until the deadline, since nobody else could go on.
     :param on_begin: called when this endpoint's first event has come.
-    :param should_leave: asked after each event whether the stream goes on elsewhere.
     """
     splitter = EventSplitter()
     limit = first_limit
@@ -85,8 +82,6 @@
             begun = True
             on_begin()
         await _pass_on(events, reply, sink, pump)
-        if should_leave():
-            return StreamEnd.LEFT
         limit = gap_aim * STALL_GAPS
 
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -54,10 +54,9 @@
 SPOILT_LIMIT = 3
 """Times a chunk may come spoilt before its digest is doubted: the list may be what is wrong."""
 
-YIELD_SECONDS = 0.4
-"""Before an engine is ordered to go on to a version, from when requests are kept away from it: the
-entry nodes learn of it within 0.05 s, and its streams go on elsewhere with their next event, which
-comes within 0.15 s."""
+YIELD_SECONDS = 0.8
+"""Before a version is whole, from when requests are kept away from an engine that serves an older
+one: half of its streams end in that time, and the entry nodes learn of it within 0.05 s."""
 
 STALL_SECONDS = 0.5
 """Time without a chunk after which the end of a fetch is no longer predicted: the origin may be
@@ -108,14 +107,12 @@
 
     :param first: the layers that it fetches first, and serves with other engines if it must.
     :param parts: into how many parts the version is split.
-    :param group: 0 for the agents that fetch first.
-    :param turn: when the engine goes on to the version, from 0 for the first to 1 for the last.
+    :param group: when it goes on to the version, 0 for the engines that go first.
     """
 
     first: LayerSpan
     parts: int
     group: int
-    turn: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,7 +270,7 @@
         if not holding.missing():
             ready_at = self._ready_at.setdefault(wanted.number, ready_at)
         seconds = self._means.version_seconds
-        return pick_swap_time(self._plan.turn, ready_at, wanted.seen_at, seconds)
+        return pick_swap_time(self._plan.group, ready_at, wanted.seen_at, seconds)
 
     def _list_chunks(self, span: LayerSpan, holding: Holding) -> range:
         return list_span_chunks(span, self._means.layers, len(holding.digests))
@@ -416,10 +413,7 @@
         if len(parts) == 1:
             parts = [LayerSpan(0, means.layers)]
         index = addresses.index(means.own.address)
-        # Those that fetch first are whole first, so they also go on first.
-        order = sorted(range(len(addresses)), key=lambda each: (each % SWAP_GROUPS, each))
-        turn = order.index(index) / max(1, len(order) - 1)
-        return LoadPlan(parts[index % len(parts)], len(parts), index % SWAP_GROUPS, turn)
+        return LoadPlan(parts[index % len(parts)], len(parts), index % SWAP_GROUPS)
 
     async def _fetch(self, holding: Holding, wanted: range, urgency: Urgency) -> bool:
         """Fetch until all that is wanted is held; ``False`` if a newer version took its place."""
