--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
@@ -5,12 +5,6 @@
 from wrenloft_policy import FEEDERS, list_feeders, pick_part
 from wrenloft_swarm._ports import Neighbour
 
-SPLIT_FEEDERS = 12
-"""Agents that fetch from the origin at a time while a version is split, of all regions. Hardly any
-engine serves then, and the uplinks bind: with the origin's region alone as the first to have each
-chunk, two of its agents' links carried a part to both other regions, and engines there had theirs
-0.8 to 1.6 s later. The origin accepts 48 connections; 12 agents open 36."""
-
 LEAST_AT_ORIGIN = 3
 """Agents of the origin's region that suffice to use up the origin's link, twice a host's."""
 
@@ -34,7 +28,7 @@
         self._chunks = chunks
         near = [own, *(each for each in others if each.near)]
         at_origin = [each for each in everyone if each.at_origin]
-        if len(at_origin) < LEAST_AT_ORIGIN or parts > 1:
+        if len(at_origin) < LEAST_AT_ORIGIN:
             at_origin = everyone
         self._own = own.address
         self._region = own.region
@@ -77,5 +71,4 @@
 
         :param age: seconds since the transfer began.
         """
-        feeders = FEEDERS if self._parts == 1 else SPLIT_FEEDERS // self._parts
-        return list_feeders(self._at_origin[self.part_of(chunk)], age, feeders)
+        return list_feeders(self._at_origin[self.part_of(chunk)], age, FEEDERS // self._parts)
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -27,9 +27,6 @@
 """Chunks on their way here at once: the link carries one in 54 ms, a request and its answer take
 up to 10 ms across regions, and a source may be slow."""
 
-YIELDING_FETCHES = 1
-"""Chunks asked of neighbours at once by an agent that leaves their links to others."""
-
 SOURCE_FETCHES = 2
 """Chunks asked of one neighbour at once, so that the load spreads."""
 
@@ -88,8 +85,6 @@
     :param urgency: what they are fetched for.
     :param parts: into how many parts the version is split for its first load.
     :param on_kept: awaited with each chunk that was kept, and its bytes.
-    :param yield_seconds: for how long neighbours' links are left to agents that fetch first, if
-        this is none of them.
     """
 
     def __init__(
@@ -105,9 +100,7 @@
         urgency: Urgency = Urgency.FIRST_PART,
         parts: int = 1,
         on_kept: Callable[[int, bytes], Awaitable[None]] | None = None,
-        yield_seconds: float = 0.0,
     ) -> None:
-        self._yield_seconds = yield_seconds
         self._wanted = range(len(holding.digests)) if wanted is None else wanted
         self._urgency = urgency
         self._parts = parts
@@ -187,8 +180,6 @@
 
     def _start_fetches(self, group: asyncio.TaskGroup) -> None:
         while len(self._in_flight) < FETCHES and (pick := self._choose()):
-            if pick.address is not None and self._must_let_others_go_first():
-                return
             self._in_flight.add(pick.chunk)
             # Counted before the task runs: the next choice of this loop must see it.
             if pick.address is None:
@@ -198,12 +189,6 @@
                 self._possessions.known[pick.address].busy += 1
             group.create_task(self._fetch(pick))
 
-    def _must_let_others_go_first(self) -> bool:
-        """Tell whether neighbours' links are left to the agents that fetch first."""
-        if self._urgency is not Urgency.REST or read_clock() - self._begun_at > self._yield_seconds:
-            return False
-        return len(self._in_flight) - self._from_origin >= YIELDING_FETCHES
-
     def _choose(self) -> Pick | None:
         now = read_clock()
         missing = [
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -58,11 +58,6 @@
 """Before a version is whole, from when requests are kept away from an engine that serves an older
 one: half of its streams end in that time, and the entry nodes learn of it within 0.05 s."""
 
-YIELD_LINK_SHARE = 0.5
-"""Part of the time that a host's link takes for a version, for which the agents that fetch second
-leave neighbours' links to those that fetch first. All agents were whole within 0.6 s else, and all
-engines went on to the version at once; half a link's time (2.2 s) later they are still in time."""
-
 STALL_SECONDS = 0.5
 """Time without a chunk after which the end of a fetch is no longer predicted: the origin may be
 away for seconds, and all engines would wait for it without work."""
@@ -434,7 +429,6 @@
             urgency=urgency,
             parts=self._plan.parts,
             on_kept=lambda chunk, data: self._stage_early(holding.name, chunk, data),
-            yield_seconds=self._measure_yield(holding),
         )
         task = asyncio.create_task(transfer.run())
         try:
@@ -454,17 +448,6 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    def _measure_yield(self, holding: Holding) -> float:
-        """Return for how long this agent leaves neighbours' links to those that fetch first.
-
-        Only where its engine serves an older version: one that serves nothing is missed more.
-        """
-        state = self._means.latest.state
-        if state is None or state.span is None:
-            return 0.0
-        total = len(holding.digests) * self._means.chunk_bytes
-        return YIELD_LINK_SHARE * total / self._means.link_rate
-
     async def _stage_early(self, name: VersionName, chunk: int, data: bytes) -> None:
         """Stage a chunk on its arrival, unless an older version is still to be loaded.
 
