Split what entry nodes tell one another into a module of its own; names and the gate's decision read plainer

Ruled out: a change of what is decided; a request that must wait for a more urgent one at its own node no longer draws a chance it could not use.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -46,9 +46,6 @@
 def rank_turn(chunk: int, members: Sequence[str], waited: float) -> str:
     """Return whose turn it is to bring a chunk over, among members in a common order.
 
-    :param may_help: tells whether this agent may fetch a chunk from the origin out of turn, because
-        the agents whose turn it is are late.
-    :param may_cross: tells whether a chunk may be brought over already.
     :param waited: seconds for which the chunk could have been had.
     """
     return members[(chunk + int(waited / CROSSING_SECONDS)) % len(members)]
@@ -97,6 +94,9 @@
     :param list_carriers: returns the agents of this region among which a chunk's turns to cross
         go, in the same order everywhere.
     :param list_feeders: returns the agents that may fetch a chunk from the origin now.
+    :param may_help: tells whether this agent may fetch a chunk from the origin out of turn, because
+        the agents whose turn it is are late.
+    :param may_cross: tells whether a chunk may be brought over already.
     :param waited: seconds for which each chunk has been held elsewhere.
     :param idle: seconds since a chunk last came.
     :param origin_free: whether another fetch from the origin may start.
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -18,17 +18,19 @@
 )
 from wrenloft_routing._forward import Forwarder
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
-from wrenloft_routing._loads import InProgress, Line, OtherNodes, Word
+from wrenloft_routing._load_streams import (
+    LoadFollower,
+    LoadRoutes,
+    measure_update_interval,
+)
+from wrenloft_routing._loads import InProgress, LoadUpdate, PeerLoads, QueueLength
 from wrenloft_routing._members import Member, Members
 from wrenloft_routing._peers import (
     FAR_PING_SECONDS,
     NEAR_PING_SECONDS,
-    LoadFollower,
-    LoadRoutes,
     PingRoutes,
     ReportFollower,
     ping_forever,
-    tell_pause,
 )
 from wrenloft_routing._proof import CurrencyProof
 from wrenloft_routing._readings import Item, Reading, ReadingRoutes, SharedReading, Taken
@@ -72,19 +74,20 @@
     "Headers",
     "InProgress",
     "Item",
-    "Line",
     "LoadFollower",
     "LoadRoutes",
+    "LoadUpdate",
     "Lost",
     "Member",
     "Members",
     "NotSent",
     "OpenAttempt",
     "Origin",
-    "OtherNodes",
+    "PeerLoads",
     "PingRoutes",
     "Placed",
     "Pump",
+    "QueueLength",
     "Reading",
     "ReadingRoutes",
     "Refused",
@@ -100,10 +103,9 @@
     "StreamEnd",
     "Taken",
     "Target",
-    "Word",
     "list_able",
+    "measure_update_interval",
     "pick_target",
     "ping_forever",
     "pump_stream",
-    "tell_pause",
 ]
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -8,7 +8,7 @@
 
 from wrenloft_core import AgentId, PlaceName, RegionName, ServiceName, note
 from wrenloft_policy import EVERY_LAYER, REPORT_LAG_SECONDS, EndpointLoad, LayerSpan
-from wrenloft_routing._loads import NOTHING, InProgress, OtherNodes
+from wrenloft_routing._loads import NOTHING, InProgress, PeerLoads
 
 _LOG = logging.getLogger(__name__)
 
@@ -84,14 +84,12 @@
 class EndpointState:
     """An endpoint and what this node knows of it beyond the list.
 
-    :param own: requests in progress that this node sent to it.
-    :param in_progress: the same, by how far they are.
+    :param in_progress: requests that this node sent to it.
     :param later_parts: requests in progress of this node that go through it after another engine.
     """
 
     endpoint: Endpoint
     leaving: bool = False
-    own: int = 0
     in_progress: InProgress = NOTHING
     failures: int = 0
     suspect_until: float = 0.0
@@ -154,7 +152,7 @@
         self._states: dict[AgentId, EndpointState] = {}
         self._left: dict[AgentId, int] = {}
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
-        self.others = OtherNodes()
+        self.others = PeerLoads()
         self.changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -288,7 +286,7 @@
         return load if all_heard else self._add_reported(load, state, now)
 
     def _add_reported(self, load: EndpointLoad, state: EndpointState, now: float) -> EndpointLoad:
-        running, waiting, slots = state.own, 0, load.slots
+        running, waiting, slots = state.in_progress.total, 0, load.slots
         if state.report is not None and state.has_fresh_report(now):
             running, waiting = state.report.running, state.report.waiting
         elif state.header_load is not None and now - state.header_at < HEADER_STALE_SECONDS:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -207,7 +207,6 @@
     async def _attempt(self, course: _Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
         """Send once; ``None`` means that another attempt may follow."""
         state = placed.state
-        state.own += 1
         state.note_sent(read_clock())
         tokens = round(course.request.prompt_tokens)
         course.share = InProgress(unread=1, unread_tokens=tokens)
@@ -225,7 +224,6 @@
             if not isinstance(result, NotSent | Rejected | Lost):
                 return await self._take_reply(course, state, result, sink, started)
         finally:
-            state.own -= 1
             state.change(NOTHING - course.share)
             for stage in placed.chain[1:]:
                 stage.state.later_parts -= 1
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -11,6 +11,7 @@
     AIM_SHARE_MOST,
     HOLD_SHARE,
     LATE_SHARE,
+    Choice,
     EndpointLoad,
     Prediction,
     Verdict,
@@ -27,7 +28,7 @@
 )
 from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoints, EndpointState
-from wrenloft_routing._loads import Line
+from wrenloft_routing._loads import QueueLength
 from wrenloft_routing._table import BackendService
 
 WORK_SECONDS = 0.03
@@ -106,7 +107,7 @@
 
     :param version_seconds: from naming a version until requests may begin on it only.
     :param count_nodes: returns how many live entry nodes send to the same endpoints.
-    :param tell_pause: returns the seconds until other nodes have heard of what was sent here.
+    :param update_interval: returns the seconds until other nodes have heard of what was sent.
     """
 
     def __init__(
@@ -115,7 +116,7 @@
         random: Random,
         version_seconds: float,
         count_nodes: Callable[[], int] = lambda: 1,
-        tell_pause: Callable[[], float] = lambda: 0.0,
+        update_interval: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._endpoints = endpoints
         self._random = random
@@ -125,7 +126,7 @@
         self._aim_shares: dict[ServiceName, float] = {}
         self._wanted: dict[str, list[WantedVersion]] = {}
         self._count_nodes = count_nodes
-        self._tell_pause = tell_pause
+        self._update_interval = update_interval
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
         """Take the time that a plain service needed for an answer."""
@@ -188,30 +189,7 @@
     def _decide(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused | None:
         now = read_clock()
         able = self._list_able(ask.service, tried, now)
-        loads = self._measure(able, ask.service, now)
-        work = self._work.get(ask.service.name, WORK_SECONDS)
-        aim_share = self._aim_shares.get(ask.service.name, AIM_SHARE_MOST)
-        good = ask.aim * aim_share - (now - ask.since) - ask.spent
-        choice = choose_endpoint(
-            loads, ask.service.engine, ask.prompt_tokens, work, self._random, good
-        )
-        urgent = any(each.order < ask.order for each in self._waiting[ask.service.name])
-        needed, least = None, inf
-        if choice is not None:
-            needed = count_seconds(choice.prediction, ask.service.engine)
-            least = self._measure_least(ask, work)
-        if self._must_yield(ask, loads, ask.aim * aim_share, now):
-            urgent = True
-        verdict = decide_turn(
-            None if urgent else needed,
-            now - ask.since + ask.spent,
-            ask.aim,
-            ask.deadline - now,
-            limited=ask.service.engine is not None and not ask.begun,
-            spent=ask.spent,
-            aim_share=aim_share,
-            least=least,
-        )
+        choice, verdict = self._weigh(ask, able, now)
         if verdict is Verdict.SEND and choice is not None:
             chosen = next(each for each in able if each.state.endpoint.agent_id == choice.key)
             # Engines of a chain are told the version as well: one that has just gone on to the
@@ -223,9 +201,37 @@
             known = len(self._endpoints.of_service(ask.service.name))
             if choice is None:
                 return Refused(f"none of {known} endpoints can take it", 0)
+            needed = count_seconds(choice.prediction, ask.service.engine)
             return Refused(f"best of {len(able)} needs {needed:.3f} s", len(able))
         return None
 
+    def _weigh(self, ask: Ask, able: Sequence[Able], now: float) -> tuple[Choice | None, Verdict]:
+        """Choose an endpoint, and decide whether the request is sent there now."""
+        engine = ask.service.engine
+        loads = self._measure(able, ask.service, now)
+        work = self._work.get(ask.service.name, WORK_SECONDS)
+        aim_share = self._aim_shares.get(ask.service.name, AIM_SHARE_MOST)
+        elapsed = now - ask.since + ask.spent
+        left_of_aim = ask.aim * aim_share - elapsed
+        choice = choose_endpoint(loads, engine, ask.prompt_tokens, work, self._random, left_of_aim)
+        needed, least = None, inf
+        if choice is not None:
+            least = self._measure_least(ask, work)
+            urgent = any(each.order < ask.order for each in self._waiting[ask.service.name])
+            if not urgent and not self._must_yield(ask, loads, ask.aim * aim_share, now):
+                needed = count_seconds(choice.prediction, engine)
+        verdict = decide_turn(
+            needed,
+            elapsed,
+            ask.aim,
+            ask.deadline - now,
+            limited=engine is not None and not ask.begun,
+            spent=ask.spent,
+            aim_share=aim_share,
+            least=least,
+        )
+        return choice, verdict
+
     def _must_yield(
         self, ask: Ask, loads: Sequence[EndpointLoad], limit: float, now: float
     ) -> bool:
@@ -243,26 +249,28 @@
             return False
         if now < ask.not_before:
             return True
-        line = self._count_line(ask.service.name)
-        line += self._endpoints.others.line_of(ask.service.name)
-        if line.fresh + line.late <= 1:
+        queue = self._count_queue(ask.service.name)
+        queue += self._endpoints.others.queue_of(ask.service.name)
+        if queue.fresh + queue.late <= 1:
             return False
         share = LATE_SHARE if ask.is_late else 1.0
         room = sum(count_room(each, engine, limit * share) for each in loads)
-        if self._random.random() < share_room(room, line.fresh, line.late, late_ask=ask.is_late):
+        if self._random.random() < share_room(room, queue.fresh, queue.late, late_ask=ask.is_late):
             return False
-        ask.not_before = now + self._tell_pause()
+        ask.not_before = now + self._update_interval()
         return True
 
-    def _count_line(self, service: ServiceName) -> Line:
-        line = self._waiting.get(service, ())
-        late = sum(each.is_late for each in line)
-        return Line(len(line) - late, late)
+    def _count_queue(self, service: ServiceName) -> QueueLength:
+        waiting = self._waiting.get(service, ())
+        late = sum(each.is_late for each in waiting)
+        return QueueLength(len(waiting) - late, late)
 
-    def list_lines(self) -> dict[ServiceName, Line]:
+    def list_queues(self) -> dict[ServiceName, QueueLength]:
         """Return what waits here for each service; other nodes are told of it."""
         return {
-            service: self._count_line(service) for service, line in self._waiting.items() if line
+            service: self._count_queue(service)
+            for service, waiting in self._waiting.items()
+            if waiting
         }
 
     def _measure_least(self, ask: Ask, work: float) -> float:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
@@ -21,6 +21,11 @@
     unread_tokens: int = 0
     running: int = 0
 
+    @property
+    def total(self) -> int:
+        """All of them."""
+        return self.unread + self.running
+
     def __add__(self, other: "InProgress") -> "InProgress":
         return InProgress(
             self.unread + other.unread,
@@ -40,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
+class QueueLength:
     """Requests that wait at entry nodes for room at a service's endpoints.
 
     :param fresh: that can still be in time.
@@ -50,23 +55,23 @@
     fresh: int = 0
     late: int = 0
 
-    def __add__(self, other: "Line") -> "Line":
-        return Line(self.fresh + other.fresh, self.late + other.late)
+    def __add__(self, other: "QueueLength") -> "QueueLength":
+        return QueueLength(self.fresh + other.fresh, self.late + other.late)
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
+class LoadUpdate:
     """What a node tells the others.
 
-    :param in_progress: at each endpoint where it has changed since the node's last word.
-    :param lines: of each service for which requests wait there now.
+    :param in_progress: at each endpoint where it has changed since the node's last update.
+    :param queues: of each service for which requests wait there now.
     """
 
     in_progress: dict[AgentId, InProgress]
-    lines: dict[ServiceName, Line]
+    queues: dict[ServiceName, QueueLength]
 
 
-class OtherNodes:
+class PeerLoads:
     """What the other entry nodes have in progress, by endpoint.
 
     An engine's report is 0.2 to 0.45 s old when it arrives, about as long as a first event may
@@ -79,25 +84,25 @@
         self._told: dict[NodeId, dict[AgentId, InProgress]] = {}
         self._heard_at: dict[NodeId, float] = {}
         self._sums: dict[AgentId, InProgress] = {}
-        self._lines: dict[NodeId, dict[ServiceName, Line]] = {}
+        self._queues: dict[NodeId, dict[ServiceName, QueueLength]] = {}
 
-    def record(self, node: NodeId, word: Word, now: float) -> None:
-        """Take a node's word."""
+    def record(self, node: NodeId, update: LoadUpdate, now: float) -> None:
+        """Take a node's update."""
         known = self._told.setdefault(node, {})
-        for agent_id, load in word.in_progress.items():
+        for agent_id, load in update.in_progress.items():
             self._change(agent_id, load - known.get(agent_id, NOTHING))
             if load == NOTHING:
                 known.pop(agent_id, None)
             else:
                 known[agent_id] = load
-        self._lines[node] = word.lines
+        self._queues[node] = update.queues
         self._heard_at[node] = now
 
     def forget(self, node: NodeId) -> None:
         """Drop a node's word: it begins anew, or is silent."""
         for agent_id, load in self._told.pop(node, {}).items():
             self._change(agent_id, NOTHING - load)
-        self._lines.pop(node, None)
+        self._queues.pop(node, None)
         self._heard_at.pop(node, None)
 
     def drop_silent(self, now: float) -> None:
@@ -114,10 +119,10 @@
         """Return what all other nodes have in progress at an endpoint."""
         return self._sums.get(agent_id, NOTHING)
 
-    def line_of(self, service: ServiceName) -> Line:
+    def queue_of(self, service: ServiceName) -> QueueLength:
         """Return what waits at all other nodes for a service."""
-        lines = (each[service] for each in self._lines.values() if service in each)
-        return sum(lines, Line())
+        queues = (each[service] for each in self._queues.values() if service in each)
+        return sum(queues, QueueLength())
 
     def _change(self, agent_id: AgentId, by: InProgress) -> None:
         total = self._sums.get(agent_id, NOTHING) + by
--- a/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
@@ -3,15 +3,14 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, web
 
-from wrenloft_core import AgentId, NodeId, RegionName, ServiceName, note, read_clock
+from wrenloft_core import RegionName, note, read_clock
 from wrenloft_policy import LayerSpan
 from wrenloft_routing._endpoints import Endpoints, EngineReport
-from wrenloft_routing._loads import NOTHING, InProgress, Line, Word
 from wrenloft_routing._members import Member, Members
 
 _LOG = logging.getLogger(__name__)
@@ -28,18 +27,9 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 """Silence after which the connection to an agent is taken for dead; it reports every 0.4 s."""
 
-LOADS_PER_SECOND = 320
-"""Messages a second, to all other nodes together, in which a node tells what it has in progress.
-Eight others are told every 0.025 s, a tenth of what an engine takes to a first event; with more
-others each is told less often, so that a node's part does not grow with the fleet."""
-
-LOADS_IDLE_SECONDS = 0.4
-"""Longest time between two, so that silence for a second shows a dead connection."""
-
 _RECONNECT_SECONDS = 0.3
 _PING_PATH = "/ping"
 _REPORT_PATH = "/reports"
-_LOADS_PATH = "/loads"
 
 
 class PingRoutes:
@@ -81,128 +71,6 @@
         members.record(member, answered=False, ready=False)
 
 
-class LoadRoutes:
-    """Tells other entry nodes what this one has in progress, and what waits here.
-
-    :param list_lines: returns what waits here for each service.
-    """
-
-    def __init__(
-        self,
-        endpoints: Endpoints,
-        members: Members,
-        list_lines: Callable[[], dict[ServiceName, Line]],
-    ) -> None:
-        self._endpoints = endpoints
-        self._members = members
-        self._list_lines = list_lines
-
-    def routes(self) -> list[web.RouteDef]:
-        """Return the routes for other entry nodes."""
-        return [web.get(_LOADS_PATH, self._stream)]
-
-    async def _stream(self, request: web.Request) -> web.StreamResponse:
-        response = web.StreamResponse()
-        await response.prepare(request)
-        told: dict[AgentId, InProgress] = {}
-        told_lines: dict[ServiceName, Line] = {}
-        told_at = read_clock()
-        try:
-            while True:
-                current = self._endpoints.list_in_progress()
-                changed = {
-                    agent_id: current.get(agent_id, NOTHING)
-                    for agent_id in told.keys() | current.keys()
-                    if told.get(agent_id) != current.get(agent_id)
-                }
-                lines = self._list_lines()
-                silent = read_clock() - told_at > LOADS_IDLE_SECONDS
-                if changed or lines != told_lines or silent:
-                    told, told_lines, told_at = current, lines, read_clock()
-                    await response.write(_encode_word(Word(changed, lines)))
-                await asyncio.sleep(tell_pause(len(self._members)))
-        except ConnectionResetError as error:
-            note(_LOG, "asker gone", path=request.path, peer=request.remote, reason=str(error))
-            raise asyncio.CancelledError from error
-
-
-def tell_pause(nodes: int) -> float:
-    """Return the seconds between two words of a node to each other one.
-
-    :param nodes: entry nodes, this one included.
-    """
-    return max(1, nodes - 1) / LOADS_PER_SECOND
-
-
-def _encode_word(word: Word) -> bytes:
-    rows = [
-        [agent_id, load.unread, load.unread_tokens, load.running]
-        for agent_id, load in word.in_progress.items()
-    ]
-    lines = [[service, line.fresh, line.late] for service, line in word.lines.items()]
-    return json.dumps([rows, lines], separators=(",", ":")).encode() + b"\n"
-
-
-def _decode_word(data: bytes) -> Word:
-    rows, lines = json.loads(data)
-    return Word(
-        {
-            AgentId(agent_id): InProgress(int(unread), int(tokens), int(running))
-            for agent_id, unread, tokens, running in rows
-        },
-        {ServiceName(name): Line(int(fresh), int(late)) for name, fresh, late in lines},
-    )
-
-
-class LoadFollower:
-    """Follows what the other entry nodes have in progress, one connection to each."""
-
-    def __init__(self, endpoints: Endpoints, session: ClientSession) -> None:
-        self._endpoints = endpoints
-        self._session = session
-        self._tasks: dict[str, asyncio.Task[None]] = {}
-
-    def update(self, members: Iterable[Member]) -> None:
-        """Follow exactly these nodes."""
-        wanted = {each.internal: each.node_id for each in members}
-        for address in self._tasks.keys() - wanted.keys():
-            self._tasks.pop(address).cancel()
-        for address in wanted.keys() - self._tasks.keys():
-            self._tasks[address] = asyncio.create_task(self._follow(address, wanted[address]))
-
-    async def close(self) -> None:
-        """Stop following."""
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
-
-    async def _follow(self, address: str, node: NodeId) -> None:
-        """Follow one node; what it said last holds for a second after it falls silent."""
-        heard = False
-        while True:
-            try:
-                heard = await self._read_loads(address, node, heard=heard)
-            except (ClientError, OSError, TimeoutError, ValueError, TypeError) as error:
-                if heard:
-                    note(_LOG, "node's loads lost", node=node, reason=repr(error))
-                heard = False
-            await asyncio.sleep(_RECONNECT_SECONDS)
-
-    async def _read_loads(self, address: str, node: NodeId, *, heard: bool) -> bool:
-        timeout = ClientTimeout(
-            total=None, sock_connect=REPORT_TIMEOUT_SECONDS, sock_read=REPORT_TIMEOUT_SECONDS
-        )
-        url = f"http://{address}{_LOADS_PATH}"
-        async with self._session.get(url, timeout=timeout) as response:
-            response.raise_for_status()
-            # The other side begins anew with all that it has in progress.
-            self._endpoints.others.forget(node)
-            async for line in response.content:
-                self._endpoints.others.record(node, _decode_word(line), read_clock())
-                heard = True
-        return heard
-
-
 class ReportFollower:
     """Follows the reports of agents, one connection to each.
 
--- a/packages/wrenloft-routing/tests/test_loads.py
+++ b/packages/wrenloft-routing/tests/test_loads.py
@@ -24,10 +24,10 @@
     EngineReport,
     Gate,
     InProgress,
-    Line,
-    OtherNodes,
+    LoadUpdate,
+    PeerLoads,
     Placed,
-    Word,
+    QueueLength,
 )
 
 ENGINE = AgentId("e")
@@ -45,16 +45,18 @@
 )
 
 
-class TestOtherNodes:
-    """Tests for ``OtherNodes``."""
+class TestPeerLoads:
+    """Tests for ``PeerLoads``."""
 
     @given(st.lists(st.tuples(st.sampled_from(NODES), loads), max_size=12))
-    def test_sum_is_of_the_last_word_of_each(self, words: list[tuple[NodeId, InProgress]]) -> None:
+    def test_sum_is_of_the_last_word_of_each(
+        self, updates: list[tuple[NodeId, InProgress]]
+    ) -> None:
         """However often nodes speak, each counts once, with what it said last."""
-        others = OtherNodes()
-        for node, load in words:
-            others.record(node, Word({ENGINE: load}, {}), 0.0)
-        last = dict(words)
+        others = PeerLoads()
+        for node, load in updates:
+            others.record(node, LoadUpdate({ENGINE: load}, {}), 0.0)
+        last = dict(updates)
         total = sum(last.values(), InProgress())
         assert others.at(ENGINE) == total
 
@@ -63,9 +65,9 @@
 
         Counted for ever, the engine would look full to all others, and callers would be refused.
         """
-        others = OtherNodes()
-        others.record(NODES[0], Word({ENGINE: InProgress(running=16)}, {}), 100.0)
-        others.record(NODES[1], Word({ENGINE: InProgress(running=2)}, {}), 100.9)
+        others = PeerLoads()
+        others.record(NODES[0], LoadUpdate({ENGINE: InProgress(running=16)}, {}), 100.0)
+        others.record(NODES[1], LoadUpdate({ENGINE: InProgress(running=2)}, {}), 100.9)
         others.drop_silent(101.5)
         assert (others.at(ENGINE).running, others.count_heard()) == (2, 1)
 
@@ -91,7 +93,7 @@
         endpoints = self._endpoints()
         (state,) = endpoints.of_service(ServiceName("s"))
         endpoints.record_report("e:1", EngineReport(0, 0, 1, False, 1.0), 100.0)
-        endpoints.others.record(NODES[0], Word({ENGINE: InProgress(5, 6000, 8)}, {}), 100.0)
+        endpoints.others.record(NODES[0], LoadUpdate({ENGINE: InProgress(5, 6000, 8)}, {}), 100.0)
         state.change(InProgress(unread=1, unread_tokens=500))
         load = endpoints.measure(state, 100.0, all_heard=True)
         assert (load.running, load.waiting, load.unread_tokens) == (8, 6, 6500)
@@ -101,7 +103,7 @@
         endpoints = self._endpoints()
         (state,) = endpoints.of_service(ServiceName("s"))
         endpoints.record_report("e:1", EngineReport(12, 3, 1, False, 1.0), 100.0)
-        endpoints.others.record(NODES[0], Word({ENGINE: InProgress(running=5)}, {}), 100.0)
+        endpoints.others.record(NODES[0], LoadUpdate({ENGINE: InProgress(running=5)}, {}), 100.0)
         load = endpoints.measure(state, 100.0, all_heard=False)
         assert (load.running, load.waiting) == (12, 3)
 
@@ -114,7 +116,7 @@
 
     @classmethod
     def _gates(cls) -> list[Gate]:
-        """Build nodes that have heard of one another's lines, and see one idle engine."""
+        """Build nodes that have heard of one another's queues, and see one idle engine."""
         names = [NodeId(f"n{number}") for number in range(cls.NODES)]
         gates = []
         for own in names:
@@ -125,10 +127,16 @@
             endpoints.update([endpoint], trusted=True)
             for other in names:
                 if other != own:
-                    line = {SERVICE: Line(fresh=cls.WAITING)}
-                    endpoints.others.record(other, Word({}, line), read_clock())
+                    queue = {SERVICE: QueueLength(fresh=cls.WAITING)}
+                    endpoints.others.record(other, LoadUpdate({}, queue), read_clock())
             gates.append(
-                Gate(endpoints, Random(own), 8.0, lambda: cls.NODES, tell_pause=lambda: 10.0)
+                Gate(
+                    endpoints,
+                    Random(own),
+                    8.0,
+                    lambda: cls.NODES,
+                    update_interval=lambda: 10.0,
+                )
             )
         return gates
 
