--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -369,6 +369,68 @@
         f"{ADAPTER_TESTS}/test_runner.py::TestRunnerTransport"
         "::test_closed_kept_connection_is_lost_and_sent_once",
     ),
+    Safeguard(
+        "a later start of an endpoint begins anew",
+        f"{ROUTING}/_endpoints.py",
+        "if state is not None and endpoint.born > state.endpoint.born:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_beliefs.py::TestEndpoints"
+        "::test_endpoint_that_starts_again_has_left_nothing",
+    ),
+    Safeguard(
+        "word of an earlier incarnation is dropped",
+        f"{ROUTING}/_endpoints.py",
+        "if report.born >= state.endpoint.born:",
+        "if True:",
+        f"{ROUTING_TESTS}/test_beliefs.py::TestEndpoints"
+        "::test_word_of_an_earlier_incarnation_changes_nothing",
+    ),
+    Safeguard(
+        "an entry names a configured service",
+        f"{ADAPTER}/_follow.py",
+        "if services is not None and endpoint.service not in services:",
+        "if False:",
+        f"{ADAPTER_TESTS}/test_decode.py::TestEndpointEntries"
+        "::test_entry_of_another_writer_takes_nobody_s_place",
+    ),
+    Safeguard(
+        "what waits shares the room by chance",
+        f"{ROUTING}/_gate.py",
+        "if queue.fresh + queue.late <= 1:",
+        "if True:",
+        f"{ROUTING_TESTS}/test_loads.py::TestContention::test_engine_that_is_back_is_not_flooded",
+    ),
+    Safeguard(
+        "silent nodes stop counting",
+        f"{ROUTING}/_loads.py",
+        "if now - at > HEARD_SECONDS:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_loads.py::TestPeerLoads::test_silent_node_stops_counting",
+    ),
+    Safeguard(
+        "a version that is due is no failure of the engine",
+        f"{ROUTING}/_forward.py",
+        "if read_clock() >= course.begin_by:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_forward.py::TestVersions"
+        "::test_engine_is_not_blamed_for_a_version_that_is_due",
+    ),
+    Safeguard(
+        "feeders leave their link to the origin",
+        f"{POLICY}/_fetching.py",
+        "if mine and origin_first and not origin_free:",
+        "if False:",
+        f"{POLICY_TESTS}/test_fetching.py::TestChooseFetch"
+        "::test_feeder_leaves_its_link_to_the_origin",
+    ),
+    Safeguard(
+        "any version that is about to be loaded keeps requests away",
+        f"{SWARM}/_upkeep.py",
+        "for each in self._wanted if each.number > state.version)",
+        "for each in [self._current] if each.number > state.version)",
+        f"{SWARM_TESTS}::TestUpkeep"
+        "::test_requests_are_kept_away_while_the_version_after_is_fetched",
+    ),
 )
 
 
