--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -47,6 +47,7 @@
     SharedBudget,
     Target,
 )
+from wrenloft_routing._forward import _Course
 
 PLACE = PlaceName("p")
 REGION = RegionName("r")
@@ -415,6 +416,17 @@
         assert isinstance(outcome, Unknown)
         assert bench.sink.aborted and not bench.sink.ended
 
+    def test_begun_answer_is_never_given_up_as_not_run(self) -> None:
+        """Whatever way leads there, a caller with part of an answer is not told that nothing ran.
+
+        A refusal would be written behind the head and events that it has.
+        """
+        bench = Bench()
+        rule = TABLE.rules[4]
+        course = _Course(cast(CallerRequest, None), rule, TABLE.services[ENGINES], None, 1, 0.0)
+        course.pump.begun = True
+        assert isinstance(bench.forwarder._give_up(course, "place", "no room"), Unknown)
+
     async def test_stream_that_may_not_resume_is_aborted(self) -> None:
         """The caller sees a broken connection, and nothing is sent a second time."""
         bench = Bench(FakeReply([_events(0), ReplyBrokenError("cut")], is_stream=True))
