Log each lost and regained report and load stream

Cause: a report's connection that broke by an error was never logged as lost, since the mark that it had been heard was set only when the connection ended well; the new load streams had the same fault. Ruled out: the log's bounds. Change: the mark is set with the first line heard. Test: a followed node dies and is back; one line each.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -110,6 +110,7 @@
         self._endpoints = endpoints
         self._session = session
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._heard: set[NodeId] = set()
 
     def update(self, members: Iterable[Member]) -> None:
         """Follow exactly these nodes."""
@@ -127,17 +128,18 @@
 
     async def _follow(self, address: str, node: NodeId) -> None:
         """Follow one node; what it said last holds for a second after it falls silent."""
-        heard = False
         while True:
             try:
-                heard = await self._read_loads(address, node, heard=heard)
+                await self._read_loads(address, node)
+                reason = "ended"
             except (ClientError, OSError, TimeoutError, ValueError, TypeError) as error:
-                if heard:
-                    note(_LOG, "node's loads lost", node=node, reason=repr(error))
-                heard = False
+                reason = repr(error)
+            if node in self._heard:
+                self._heard.discard(node)
+                note(_LOG, "node's loads lost", node=node, reason=reason)
             await asyncio.sleep(_RECONNECT_SECONDS)
 
-    async def _read_loads(self, address: str, node: NodeId, *, heard: bool) -> bool:
+    async def _read_loads(self, address: str, node: NodeId) -> None:
         timeout = ClientTimeout(total=None, sock_connect=SILENCE_SECONDS, sock_read=SILENCE_SECONDS)
         url = f"http://{address}{_PATH}"
         async with self._session.get(url, timeout=timeout) as response:
@@ -146,5 +148,6 @@
             self._endpoints.others.forget(node)
             async for line in response.content:
                 self._endpoints.others.record(node, _decode_update(line), read_clock())
-                heard = True
-        return heard
+                if node not in self._heard:
+                    self._heard.add(node)
+                    note(_LOG, "node's loads heard", node=node)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_peers.py
@@ -82,6 +82,7 @@
         self._endpoints = endpoints
         self._session = session
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._heard: set[str] = set()
 
     def update(self, agents: dict[str, str]) -> None:
         """Follow exactly these agents.
@@ -100,16 +101,15 @@
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
     async def _follow(self, address: str, agent: str) -> None:
-        connected = False
         while True:
             try:
                 await self._read_reports(address, agent)
-            except (ClientError, OSError, TimeoutError, ValueError) as error:
-                if connected:
-                    note(_LOG, "agent lost", agent=agent, reason=repr(error))
-                connected = False
-            else:
-                connected = True
+                reason = "ended"
+            except (ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
+                reason = repr(error)
+            if agent in self._heard:
+                self._heard.discard(agent)
+                note(_LOG, "agent lost", agent=agent, reason=reason)
             await asyncio.sleep(_RECONNECT_SECONDS)
 
     async def _read_reports(self, address: str, agent: str) -> None:
@@ -125,6 +125,9 @@
             async for line in response.content:
                 report = _read_report(json.loads(line))
                 self._endpoints.record_report(address, report, read_clock())
+                if agent not in self._heard:
+                    self._heard.add(agent)
+                    note(_LOG, "agent heard", agent=agent)
 
 
 def _read_report(fields: dict[str, Any]) -> EngineReport:
