--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -1,16 +1,6 @@
 """Routing, admission, retry and placement decisions as plain functions."""
 
 from wrenloft_policy._admission import Share, TokenBucket, admit, divide_limits
-from wrenloft_policy._carriers import (
-    LEAST_FRAME_SECONDS,
-    SELF_READ_SECONDS,
-    STALE_FACTOR,
-    CarrierCandidate,
-    assign_places,
-    measure_frame_interval,
-    measure_read_patience,
-    rank_carriers,
-)
 from wrenloft_policy._ejection import EjectionRule, Ejections
 from wrenloft_policy._endpoints import (
     AIM_SHARE_MOST,
@@ -51,12 +41,22 @@
     LayerSpan,
     complete_chain,
     list_span_chunks,
-    pick_part,
+    pick_parts,
     split_layers,
 )
 from wrenloft_policy._ownership import Lease, choose_owner, rank_owners
 from wrenloft_policy._placement import Host, Placed, choose_hosts, matches
 from wrenloft_policy._queue import FairQueue, Ticket, estimate_wait
+from wrenloft_policy._relays import (
+    LEAST_FRAME_SECONDS,
+    SELF_READ_SECONDS,
+    STALE_FACTOR,
+    RelayCandidate,
+    assign_places,
+    measure_frame_interval,
+    measure_read_patience,
+    rank_relays,
+)
 from wrenloft_policy._retry import RetryBudget, pick_backoff
 from wrenloft_policy._runners import (
     Candidate,
@@ -93,7 +93,6 @@
     "SWAP_GROUPS",
     "URGENCIES",
     "Candidate",
-    "CarrierCandidate",
     "ChainPart",
     "Choice",
     "Chosen",
@@ -112,6 +111,7 @@
     "Pick",
     "Placed",
     "Prediction",
+    "RelayCandidate",
     "RetryBudget",
     "Share",
     "Source",
@@ -154,13 +154,13 @@
     "must_load_part",
     "pick_backoff",
     "pick_neighbours",
-    "pick_part",
+    "pick_parts",
     "pick_return",
     "pick_swap_time",
     "predict_answer",
     "predict_first_event",
-    "rank_carriers",
     "rank_owners",
+    "rank_relays",
     "rank_turn",
     "rank_urgency",
     "share_room",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_layers.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_layers.py
@@ -57,9 +57,9 @@
     return [LayerSpan(bounds[index], bounds[index + 1]) for index in range(parts)]
 
 
-def pick_part(own: str, members: Sequence[str], parts: int) -> int:
-    """Return which part a member loads first: neighbours in the common order take turns."""
-    return sorted(members).index(own) % parts
+def pick_parts(members: Sequence[str], parts: int) -> dict[str, int]:
+    """Return which part each member loads first: neighbours in the common order take turns."""
+    return {member: index % parts for index, member in enumerate(sorted(members))}
 
 
 def list_span_chunks(span: LayerSpan, layers: int, chunks: int) -> range:
--- a/packages/wrenloft-policy/src/wrenloft_policy/_carriers.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_relays.py
@@ -1,4 +1,4 @@
-"""Which entry node of an availability zone carries for it, and who reads the store."""
+"""Which entry node of an availability zone relays for it, and who reads the store."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -7,7 +7,7 @@
 from blake3 import blake3
 
 STALE_FACTOR = 1.8
-"""Age of a reading, in intervals, at which the second place's carrier reads the store itself. The
+"""Age of a reading, in intervals, at which the second place's relay reads the store itself. The
 first may be cut off from the store, slow or dead; one missed read is not enough to tell."""
 
 TAKE_OVER_STEP = 0.3
@@ -15,10 +15,10 @@
 
 SELF_READ_SECONDS = 1.0
 """For each node of a zone, the mean time between two reads of the store by a node that is not its
-zone's carrier, while no carrier has a fresh reading: one call a second and zone in all."""
+zone's relay, while no relay has a fresh reading: one call a second and zone in all."""
 
 FRAMES_PER_SECOND = 250.0
-"""Frames a second that one carrier sends at most, to all nodes of its zone together. With 3 nodes
+"""Frames a second that one relay sends at most, to all nodes of its zone together. With 3 nodes
 each hears of the others every 0.025 s, with 20 every 0.08 s, a fifth of a first event's aim."""
 
 LEAST_FRAME_SECONDS = 0.025
@@ -29,8 +29,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CarrierCandidate:
-    """A node that can carry.
+class RelayCandidate:
+    """A node that can relay.
 
     :param strength: processor time that it has, in cores.
     """
@@ -39,37 +39,37 @@
     strength: float
 
 
-def rank_carriers(candidates: Sequence[CarrierCandidate]) -> list[str]:
-    """Return nodes in the order in which they carry for their zone, the same at every node.
+def rank_relays(candidates: Sequence[RelayCandidate]) -> list[str]:
+    """Return nodes in the order in which they relay for their zone, the same at every node.
 
-    The strongest first: a carrier works for all others besides its own callers. Among equals a
+    The strongest first: a relay works for all others besides its own callers. Among equals a
     hash of the name decides, so that the names that operators pick don't.
     """
 
-    def rank(each: CarrierCandidate) -> tuple[float, bytes]:
+    def rank(each: RelayCandidate) -> tuple[float, bytes]:
         return -each.strength, blake3(each.node_id.encode()).digest(8)
 
     return [each.node_id for each in sorted(candidates, key=rank)]
 
 
 def assign_places(
-    wanted: Sequence[str], carried: Sequence[str], regions: Mapping[str, str]
+    wanted: Sequence[str], relayed: Sequence[str], regions: Mapping[str, str]
 ) -> dict[str, str]:
-    """Return which zone's carrier follows the agents of each zone.
+    """Return which zone's relay follows the agents of each zone.
 
     A zone without a live entry node is followed from another one, of its region if there is one:
     its engines still serve, and nobody there would tell of them.
 
     :param wanted: zones with agents.
-    :param carried: zones with a live entry node.
+    :param relayed: zones with a live entry node.
     """
     assigned = {}
     for place in wanted:
-        if place in carried:
+        if place in relayed:
             assigned[place] = place
             continue
-        near = [each for each in carried if regions.get(each) == regions.get(place)]
-        among = sorted(near or carried)
+        near = [each for each in relayed if regions.get(each) == regions.get(place)]
+        among = sorted(near or relayed)
         if among:
             digest = blake3(place.encode()).digest(4)
             assigned[place] = among[int.from_bytes(digest) % len(among)]
@@ -79,7 +79,7 @@
 def measure_frame_interval(followers: int) -> float:
     """Return the seconds between two frames to each follower.
 
-    :param followers: how many a carrier sends to.
+    :param followers: how many a relay sends to.
     """
     return min(LONGEST_FRAME_SECONDS, max(LEAST_FRAME_SECONDS, followers / FRAMES_PER_SECOND))
 
@@ -87,11 +87,11 @@
 def measure_read_patience(interval: float, place_rank: int | None) -> float:
     """Return the age of a reading at which a node reads the store itself.
 
-    One carrier of all reads; the others are passed its readings and take over in turn.
+    One relay of all reads; the others are passed its readings and take over in turn.
 
     :param interval: seconds between two reads.
-    :param place_rank: rank of the place that this node carries for, ``None`` if it carries for
-        none and its carrier is heard.
+    :param place_rank: rank of the place that this node relays for, ``None`` if it relays for
+        none and its relay is heard.
     """
     if place_rank is None:
         return inf
--- a/packages/wrenloft-policy/tests/test_layers.py
+++ b/packages/wrenloft-policy/tests/test_layers.py
@@ -11,7 +11,7 @@
     LayerSpan,
     complete_chain,
     list_span_chunks,
-    pick_part,
+    pick_parts,
     split_layers,
 )
 
@@ -42,7 +42,7 @@
     def test_neighbours_take_different_parts(self) -> None:
         """Of two hosts next to each other in the list, each can complete the other's chain."""
         members = ["10.1.0.1", "10.1.0.2", "10.1.0.3", "10.1.0.4"]
-        assert [pick_part(each, members, 2) for each in members] == [0, 1, 0, 1]
+        assert [pick_parts(members, 2)[each] for each in members] == [0, 1, 0, 1]
 
 
 class TestListSpanChunks:
--- a/packages/wrenloft-policy/tests/test_carriers.py
+++ b/packages/wrenloft-policy/tests/test_relays.py
@@ -1,4 +1,4 @@
-"""Tests of who carries for a zone, and who reads the store."""
+"""Tests of who relays for a zone, and who reads the store."""
 
 from math import inf
 
@@ -6,17 +6,17 @@
 from hypothesis import strategies as st
 
 from wrenloft_policy import (
-    CarrierCandidate,
+    RelayCandidate,
     assign_places,
     count_unheard,
     measure_frame_interval,
     measure_read_patience,
-    rank_carriers,
+    rank_relays,
 )
 
 candidates = st.lists(
     st.builds(
-        CarrierCandidate,
+        RelayCandidate,
         node_id=st.text(min_size=1, max_size=6),
         strength=st.sampled_from([1.0, 2.0]),
     ),
@@ -25,21 +25,21 @@
 )
 
 
-class TestRankCarriers:
-    """Tests for ``rank_carriers``."""
+class TestRankRelays:
+    """Tests for ``rank_relays``."""
 
     @given(candidates, st.randoms())
-    def test_order_is_the_same_at_every_node(self, nodes: list[CarrierCandidate], random) -> None:
-        """Nodes list one another in any order and still agree on who carries."""
+    def test_order_is_the_same_at_every_node(self, nodes: list[RelayCandidate], random) -> None:
+        """Nodes list one another in any order and still agree on who relays."""
         shuffled = list(nodes)
         random.shuffle(shuffled)
-        assert rank_carriers(shuffled) == rank_carriers(nodes)
+        assert rank_relays(shuffled) == rank_relays(nodes)
 
     @given(candidates)
-    def test_strongest_come_first(self, nodes: list[CarrierCandidate]) -> None:
-        """A carrier works for its whole zone, so a host with more processor time does it."""
+    def test_strongest_come_first(self, nodes: list[RelayCandidate]) -> None:
+        """A relay works for its whole zone, so a host with more processor time does it."""
         strength = {each.node_id: each.strength for each in nodes}
-        ranked = [strength[each] for each in rank_carriers(nodes)]
+        ranked = [strength[each] for each in rank_relays(nodes)]
         assert ranked == sorted(ranked, reverse=True)
 
 
@@ -70,14 +70,14 @@
 
     @given(st.integers(1, 60))
     def test_frames_a_second_stay_bounded(self, followers: int) -> None:
-        """A carrier's part does not grow beyond its rate, however many nodes its zone has."""
+        """A relay's part does not grow beyond its rate, however many nodes its zone has."""
         assert followers / measure_frame_interval(followers) <= 250.0001 or followers < 7
 
 
 class TestReadPatience:
     """Tests for ``measure_read_patience``."""
 
-    def test_carriers_take_over_in_turn(self) -> None:
+    def test_relays_take_over_in_turn(self) -> None:
         """The first reads at its interval; the others later, each at another time."""
         patience = [measure_read_patience(0.8, rank) for rank in range(5)]
         assert patience[0] == 0.8
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -1,7 +1,6 @@
 """Routing of callers' requests straight to endpoints, free of any wire format."""
 
 from wrenloft_routing._budget import SharedBudget
-from wrenloft_routing._carrier import ZoneLink
 from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import (
     KEPT_SECONDS,
@@ -69,6 +68,7 @@
     Target,
     pick_target,
 )
+from wrenloft_routing._zone import ZoneLink
 
 __all__ = [
     "KEPT_SECONDS",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frame_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frame_streams.py
@@ -1,4 +1,4 @@
-"""Frames over connections: told by a carrier, followed by nodes, carriers and agents."""
+"""Frames over connections: told by a relay, followed by nodes, relays and agents."""
 
 import asyncio
 import logging
@@ -16,21 +16,21 @@
 _LOG = logging.getLogger(__name__)
 
 FRAME_IDLE_SECONDS = 0.2
-"""Longest time between two frames, so that silence shows a carrier that is dead."""
+"""Longest time between two frames, so that silence shows a relay that is dead."""
 
 FRAME_SILENCE_SECONDS = 0.6
-"""Silence after which a carrier is taken for dead: two frames and more are missing. Until then its
+"""Silence after which a relay is taken for dead: two frames and more are missing. Until then its
 nodes go by what it said last; unseen for longer, their sends would meet at one engine."""
 
 FRAME_CONNECT_SECONDS = 0.3
-"""Longest wait for a connection to a carrier; across regions it takes 6 ms."""
+"""Longest wait for a connection to a relay; across regions it takes 6 ms."""
 
 AGENT_FRAME_SECONDS = 0.1
 """Between two frames to an agent, which waits for a version's name."""
 
 AGENT_IDLE_SECONDS = 0.5
 AGENT_SILENCE_SECONDS = 1.5
-"""The same as for nodes, for agents: they go on without a carrier and can wait longer."""
+"""The same as for nodes, for agents: they go on without a relay and can wait longer."""
 
 FRAMES_PATH = "/frames"
 
@@ -39,7 +39,7 @@
 
 
 class FrameRoutes:
-    """Tells others what this node has gathered, as their carrier.
+    """Tells others what this node has gathered, as their relay.
 
     ``followers`` counts who listens; while anybody does, this node gathers.
     """
@@ -51,7 +51,7 @@
 
     @property
     def followers(self) -> int:
-        """How many nodes and carriers follow this one."""
+        """How many nodes and relays follow this one."""
         return self._counts[FrameScope.FLEET] + self._counts[FrameScope.ZONE]
 
     def routes(self) -> list[web.RouteDef]:
@@ -114,10 +114,10 @@
 async def read_frames(
     session: ClientSession, address: str, scope: FrameScope, own: NodeId, take: FrameTaker
 ) -> str:
-    """Follow a carrier until it is lost, and return why it was.
+    """Follow a relay until it is lost, and return why it was.
 
     :param address: its internal address.
-    :param take: called with each frame, and with the mirror of that carrier's readings.
+    :param take: called with each frame, and with the mirror of that relay's readings.
     """
     agent = scope is FrameScope.READINGS
     silence = AGENT_SILENCE_SECONDS if agent else FRAME_SILENCE_SECONDS
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -1,4 +1,4 @@
-"""What a carrier tells: of loads, engines, nodes and the store's content, as changes.
+"""What a relay tells: of loads, engines, nodes and the store's content, as changes.
 
 Times in a frame are on the sender's clock. Both clocks count suspensions and run at the same rate,
 so the difference, bounded once for each connection, translates every later time.
@@ -20,7 +20,7 @@
 class FrameScope(Enum):
     """What a follower wants to hear of.
 
-    ``FLEET`` is for nodes of the carrier's zone, ``ZONE`` for carriers of other zones, and
+    ``FLEET`` is for nodes of the relay's zone, ``ZONE`` for relays of other zones, and
     ``READINGS`` for agents, which need no more than the store's content.
     """
 
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Frame:
-    """One message of a carrier.
+    """One message of a relay.
 
     :param at: when it was made, on the sender's clock.
     :param heard: nodes whose requests are counted in ``loads``.
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
@@ -1,4 +1,4 @@
-"""What a carrier has heard of its zone and of the others, and what each follower was told of it."""
+"""What a relay has heard of its zone and of the others, and what each follower was told of it."""
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
@@ -22,7 +22,7 @@
 class GatheredReport:
     """An engine's report as its agent told it.
 
-    :param place: the zone whose carrier hears that agent.
+    :param place: the zone whose relay hears that agent.
     """
 
     report: EngineReport
@@ -31,7 +31,7 @@
 
 
 class Gathered:
-    """All that a carrier knows.
+    """All that a relay knows.
 
     :param list_queues: returns what waits at this node for each service.
     """
@@ -74,7 +74,7 @@
         self.reports.pop(address, None)
 
     def refresh_reports(self, place: PlaceName, lost: Iterable[str]) -> list[str]:
-        """Take that a zone's carrier still hears its agents but those that it lost.
+        """Take that a zone's relay still hears its agents but those that it lost.
 
         :returns: the addresses of the engines whose agents it hears.
         """
--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -1,4 +1,4 @@
-"""Telling a carrier of requests in progress and waiting here, and hearing nodes as a carrier."""
+"""Telling a relay of requests in progress and waiting here, and hearing nodes as a relay."""
 
 import asyncio
 import json
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeUpdate:
-    """What a node tells a carrier.
+    """What a node tells a relay.
 
     :param ready: whether callers may be sent there.
     """
@@ -47,11 +47,11 @@
 
 
 class LoadRoutes:
-    """Tells carriers what this node has in progress, and what waits here.
+    """Tells relays what this node has in progress, and what waits here.
 
     :param list_queues: returns what waits here for each service.
     :param is_ready: whether callers may be sent here.
-    :param on_asker: called with the address of each carrier that asks.
+    :param on_asker: called with the address of each relay that asks.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         return [web.get(LOADS_PATH, self._stream)]
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
-        self._on_asker(request.query.get("carrier", ""))
+        self._on_asker(request.query.get("relay", ""))
         response = web.StreamResponse()
         await response.prepare(request)
         try:
@@ -124,7 +124,7 @@
 
 
 class NodeFollower:
-    """Hears the entry nodes of a zone, for its carrier."""
+    """Hears the entry nodes of a zone, for its relay."""
 
     def __init__(self, gathered: Gathered, members: Members, session: ClientSession) -> None:
         self._gathered = gathered
@@ -157,7 +157,7 @@
         heard = False
         try:
             url = f"http://{node.address}{LOADS_PATH}"
-            query = {"carrier": self._members.own.internal}
+            query = {"relay": self._members.own.internal}
             async with self._session.get(url, params=query, timeout=timeout) as response:
                 response.raise_for_status()
                 # The other side begins anew with all that it has in progress.
--- a/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_loads.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadUpdate:
-    """What a node tells its carrier, or a carrier tells of many nodes.
+    """What a node tells its relay, or a relay tells of many nodes.
 
     :param in_progress: at each endpoint where it has changed since the last update.
     :param queues: of each service for which requests wait there now.
@@ -75,7 +75,7 @@
 
 
 class PeerLoads:
-    """What the other entry nodes have in progress, by endpoint, from nodes or from carriers.
+    """What the other entry nodes have in progress, by endpoint, from nodes or from relays.
 
     An engine's report is 0.2 to 0.45 s old when it arrives, about as long as a first event may
     take. While engines were scarce, nodes that went by reports predicted 120 to 190 ms (middle of
--- a/packages/wrenloft-routing/src/wrenloft_routing/_members.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_members.py
@@ -1,4 +1,4 @@
-"""The entry nodes: those that callers are told of, and those that carry for their zone."""
+"""The entry nodes: those that callers are told of, and those that relay for their zone."""
 
 import logging
 from collections.abc import Iterable, Mapping
@@ -7,7 +7,7 @@
 from random import Random
 
 from wrenloft_core import NodeId, PlaceName, RegionName, note, read_clock
-from wrenloft_policy import CarrierCandidate, rank_carriers
+from wrenloft_policy import RelayCandidate, rank_relays
 
 _LOG = logging.getLogger(__name__)
 
@@ -16,7 +16,7 @@
 the directory."""
 
 AVOID_SECONDS = 1.0
-"""How long a carrier that was lost is passed over; doubled by each further loss in a row. A process
+"""How long a relay that was lost is passed over; doubled by each further loss in a row. A process
 that ended is back within a second."""
 
 AVOID_LONGEST = 8.0
@@ -39,7 +39,7 @@
     :param front: address that callers connect to.
     :param internal: address for other nodes.
     :param strength: processor time that it has, in cores.
-    :param avoided_until: until when it is not asked to carry, after it was lost as a carrier.
+    :param avoided_until: until when it is not asked to relay, after it was lost as a relay.
     :param losses: how often in a row that happened.
     """
 
@@ -60,7 +60,7 @@
 
 
 class Members:
-    """Entry nodes by id: listed in the store, judged by what their zone's carrier hears of them."""
+    """Entry nodes by id: listed in the store, judged by what their zone's relay hears of them."""
 
     def __init__(self, own: Member) -> None:
         self.own = own
@@ -100,7 +100,7 @@
         return self._members.get(node_id)
 
     def take_states(self, states: Mapping[NodeId, NodeState]) -> None:
-        """Take what a carrier has heard of nodes; what it has not heard of stays as it was."""
+        """Take what a relay has heard of nodes; what it has not heard of stays as it was."""
         for node_id, state in states.items():
             member = self._members.get(node_id)
             if member is None or member is self.own or member.state is state:
@@ -120,23 +120,23 @@
         )
 
     def rank_place(self, place: PlaceName) -> list[Member]:
-        """Return a zone's nodes in the order in which they carry, the strongest first."""
+        """Return a zone's nodes in the order in which they relay, the strongest first."""
         among = [each for each in self._members.values() if each.place == place]
-        order = rank_carriers([CarrierCandidate(each.node_id, each.strength) for each in among])
+        order = rank_relays([RelayCandidate(each.node_id, each.strength) for each in among])
         return [self._members[NodeId(each)] for each in order]
 
-    def pick_carrier(self, place: PlaceName) -> Member | None:
-        """Return the node that carries for a zone, ``None`` if none can be asked now.
+    def pick_relay(self, place: PlaceName) -> Member | None:
+        """Return the node that relays for a zone, ``None`` if none can be asked now.
 
-        This node's own zone has at least itself: a node that reaches no other carries for itself.
+        This node's own zone has at least itself: a node that reaches no other relays for itself.
         """
         now = read_clock()
         ranked = [each for each in self.rank_place(place) if each.avoided_until <= now]
         live = [each for each in ranked if each.state is not NodeState.LOST or each is self.own]
         return next(iter([*live, *ranked]), None)
 
-    def record_carrier(self, member: Member, *, heard: bool) -> None:
-        """Take whether a node that was asked to carry does so."""
+    def record_relay(self, member: Member, *, heard: bool) -> None:
+        """Take whether a node that was asked to relay does so."""
         if heard:
             member.losses, member.avoided_until = 0, 0.0
             return
--- a/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
@@ -24,7 +24,7 @@
 """Pause after a first read that failed; doubled by each further one in a row."""
 
 RETRY_LONGEST = 0.6
-"""Longest such pause of the first place's carrier; each further place's is half as long again, so
+"""Longest such pause of the first place's relay; each further place's is half as long again, so
 that a store that is away gets no more than a few calls a second however many nodes there are."""
 
 _LOOK_SECONDS = 0.05
@@ -74,21 +74,21 @@
 class ReaderRole(Enum):
     """Part that a node has in reading the store.
 
-    ``STARTING`` is before it knows other nodes. ``FOLLOWING`` hears of readings from its carrier,
-    ``CARRYING`` passes them on.
+    ``STARTING`` is before it knows other nodes. ``FOLLOWING`` hears of readings from its relay,
+    ``RELAYING`` passes them on.
     """
 
     STARTING = "starting"
     FOLLOWING = "following"
-    CARRYING = "carrying"
+    RELAYING = "relaying"
 
 
 class SharedReading:
     """Keeps one prefix of the store up to date with few calls.
 
-    One carrier of all reads the store; frames bring its readings to the others. Nothing depends on
-    who reads: the next carrier takes over from one whose readings grow old, and a node whose
-    carrier has none that is fresh reads itself, seldom.
+    One relay of all reads the store; frames bring its readings to the others. Nothing depends on
+    who reads: the next relay takes over from one whose readings grow old, and a node whose
+    relay has none that is fresh reads itself, seldom.
 
     :param fetch: reads the store.
     :param take: called with each newer reading.
@@ -128,7 +128,7 @@
     @property
     def is_first_reader(self) -> bool:
         """Whether this node is the one that reads for all."""
-        return self._role() is ReaderRole.CARRYING and self._rank_place() == 0
+        return self._role() is ReaderRole.RELAYING and self._rank_place() == 0
 
     def hurry(self) -> None:
         """Read at once: something has changed."""
@@ -154,14 +154,14 @@
         if self._hurried:
             return 0.0
         role = self._role()
-        if role is ReaderRole.CARRYING:
+        if role is ReaderRole.RELAYING:
             return measure_read_patience(self._interval, self._rank_place())
         if role is ReaderRole.FOLLOWING:
             return 2.0 * STALE_FACTOR * self._interval
         return float("inf")
 
     def _rank_place(self) -> int:
-        """Return how many places' carriers read before this one's."""
+        """Return how many places' relays read before this one's."""
         places = self._members.list_places()
         own = self._members.own.place
         return places.index(own) if own in places else 0
@@ -169,8 +169,8 @@
     async def _wait_turn(self) -> bool:
         """Wait for this node's turn to read; return whether a read is still needed.
 
-        Carriers have their own patience. Of the other nodes of a zone about one a second reads:
-        the store may turn their carrier away and serve them, and when it is down for all, each
+        Relays have their own patience. Of the other nodes of a zone about one a second reads:
+        the store may turn their relay away and serve them, and when it is down for all, each
         call of each node would be one in vain.
         """
         if self._role() is not ReaderRole.FOLLOWING:
@@ -234,9 +234,9 @@
 
 
 class ReadingMirror:
-    """A carrier's readings as they come over one connection, as changes.
+    """A relay's readings as they come over one connection, as changes.
 
-    :param clock_lead: by how much the carrier's clock is ahead of this host's, at most.
+    :param clock_lead: by how much the relay's clock is ahead of this host's, at most.
     """
 
     def __init__(self, clock_lead: float) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
@@ -1,4 +1,4 @@
-"""Hearing engines' agents, as their zone's carrier."""
+"""Hearing engines' agents, as their zone's relay."""
 
 import asyncio
 import json
@@ -61,7 +61,7 @@
         )
         heard = False
         try:
-            query = {"carrier": self._internal}
+            query = {"relay": self._internal}
             async with self._session.get(url, params=query, timeout=timeout) as response:
                 response.raise_for_status()
                 async for line in response.content:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_carrier.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
@@ -1,4 +1,4 @@
-"""An entry node's part in its zone: following the zone's carrier, or carrying itself."""
+"""An entry node's part in its zone: following the zone's relay, or relaying itself."""
 
 import asyncio
 import logging
@@ -23,23 +23,23 @@
 _LOG = logging.getLogger(__name__)
 
 LOOK_SECONDS = 0.1
-"""Between two looks at who carries, and at whom a carrier follows."""
+"""Between two looks at who relays, and at whom a relay follows."""
 
 LINGER_SECONDS = 2.0
-"""How long a node goes on gathering after its last follower has left: one that lost its carrier for
+"""How long a node goes on gathering after its last follower has left: one that lost its relay for
 a moment finds the next one informed."""
 
-_CARRIER = NodeId("carrier")
-"""Name under which a follower keeps the sums that its carrier tells."""
+_RELAY = NodeId("relay")
+"""Name under which a follower keeps the sums that its relay tells."""
 
 
 class ZoneLink:
     """Keeps a node informed of the fleet.
 
-    Each node follows one carrier of its zone, the first by rank that it can hear. Whoever is
-    followed gathers: from the zone's nodes and agents, and from a carrier of each other zone. So
-    the connections of a node that carries for nobody do not grow with the fleet, and nobody has
-    to be elected: a node that hears its carrier no longer follows the next one, which then
+    Each node follows one relay of its zone, the first by rank that it can hear. Whoever is
+    followed gathers: from the zone's nodes and agents, and from a relay of each other zone. So
+    the connections of a node that relays for nobody do not grow with the fleet, and nobody has
+    to be elected: a node that hears its relay no longer follows the next one, which then
     gathers; a node that hears nobody gathers for itself.
 
     :param regions: region of each zone.
@@ -77,7 +77,7 @@
         self._readings = {each.name: each for each in readings}
 
     def record_asker(self, address: str) -> None:
-        """Take that a carrier asks this node.
+        """Take that a relay asks this node.
 
         A node that starts while the store is away can learn of the others in no other way.
         """
@@ -97,34 +97,34 @@
         for each in (nodes, agents, zones):
             stack.push_async_callback(each.close)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow_carriers())
+            group.create_task(self._follow_relays())
             group.create_task(self._gather(nodes, agents, zones))
 
-    async def _follow_carriers(self) -> None:
+    async def _follow_relays(self) -> None:
         while True:
-            carrier = self._members.pick_carrier(self._members.own.place)
+            relay = self._members.pick_relay(self._members.own.place)
             if len(self._members) == 1 and self.role is ReaderRole.STARTING:
                 await self._follow_asker()
-            elif carrier is None or carrier is self._members.own:
-                self._take_role(ReaderRole.CARRYING, self._gathered.heard)
+            elif relay is None or relay is self._members.own:
+                self._take_role(ReaderRole.RELAYING, self._gathered.heard)
                 await asyncio.sleep(LOOK_SECONDS)
             else:
-                await self._follow_carrier(carrier)
+                await self._follow_relay(relay)
 
     async def _follow_asker(self) -> None:
-        """Wait for the list of nodes, and follow a carrier that asks meanwhile."""
+        """Wait for the list of nodes, and follow a relay that asks meanwhile."""
         await asyncio.sleep(LOOK_SECONDS / 4)
         if not self._asker or len(self._members) > 1 or self.role is not ReaderRole.STARTING:
             return
         own = self._members.own
-        carrier = Member(NodeId(self._asker), own.place, own.region, "", self._asker)
+        relay = Member(NodeId(self._asker), own.place, own.region, "", self._asker)
         self._asker = ""
-        await self._follow_carrier(carrier)
+        await self._follow_relay(relay)
 
     def start_alone(self) -> None:
-        """Carry until other nodes are known: the list has been read and names nobody else."""
+        """Relay until other nodes are known: the list has been read and names nobody else."""
         if self.role is ReaderRole.STARTING and len(self._members) == 1:
-            self._take_role(ReaderRole.CARRYING, self._gathered.heard)
+            self._take_role(ReaderRole.RELAYING, self._gathered.heard)
 
     def _take_role(self, role: ReaderRole, loads: PeerLoads) -> None:
         if role is not self.role:
@@ -132,8 +132,8 @@
         self.role = role
         self._endpoints.others = loads
 
-    async def _follow_carrier(self, carrier: Member) -> None:
-        """Follow a carrier until it is lost or a better one can be tried."""
+    async def _follow_relay(self, relay: Member) -> None:
+        """Follow a relay until it is lost or a better one can be tried."""
         own = self._members.own
         heard = False
 
@@ -141,40 +141,40 @@
             nonlocal heard
             if not heard:
                 heard = True
-                self._followed.forget(_CARRIER)
+                self._followed.forget(_RELAY)
                 self._reported.clear()
-                self._members.record_carrier(carrier, heard=True)
-                note(_LOG, "carrier heard", carrier=carrier.node_id)
+                self._members.record_relay(relay, heard=True)
+                note(_LOG, "relay heard", relay=relay.node_id)
             self._take_role(ReaderRole.FOLLOWING, self._followed)
-            self._take_frame(frame, mirror, carrier)
+            self._take_frame(frame, mirror, relay)
 
         reading = asyncio.create_task(
-            read_frames(self._session, carrier.internal, FrameScope.FLEET, own.node_id, take)
+            read_frames(self._session, relay.internal, FrameScope.FLEET, own.node_id, take)
         )
         try:
             while not reading.done():
                 await asyncio.wait([reading], timeout=LOOK_SECONDS)
-                if heard and not reading.done() and self._has_better(carrier):
+                if heard and not reading.done() and self._has_better(relay):
                     return
         finally:
             reading.cancel()
         reason = reading.result() if reading.done() and not reading.cancelled() else "left"
-        self._members.record_carrier(carrier, heard=False)
-        note(_LOG, "carrier lost", carrier=carrier.node_id, heard=heard, reason=reason)
+        self._members.record_relay(relay, heard=False)
+        note(_LOG, "relay lost", relay=relay.node_id, heard=heard, reason=reason)
 
-    def _has_better(self, carrier: Member) -> bool:
-        """Tell whether another node should carry.
+    def _has_better(self, relay: Member) -> bool:
+        """Tell whether another node should relay.
 
         One that knows only itself has no list yet, and stays with whoever asked it.
         """
         if len(self._members) == 1:
             return False
-        return self._members.pick_carrier(self._members.own.place) is not carrier
+        return self._members.pick_relay(self._members.own.place) is not relay
 
-    def _take_frame(self, frame: Frame, mirror: ReadingMirror, carrier: Member) -> None:
+    def _take_frame(self, frame: Frame, mirror: ReadingMirror, relay: Member) -> None:
         now = read_clock()
         update = LoadUpdate(frame.loads or {}, frame.queues or {}, frame.heard)
-        self._followed.record(_CARRIER, update, now)
+        self._followed.record(_RELAY, update, now)
         self._reported.update(frame.reports or {})
         self._reported.difference_update(frame.lost)
         self._take_reports(frame, self._reported, now)
@@ -214,7 +214,7 @@
 
     def _must_gather(self) -> bool:
         now = read_clock()
-        if self.role is ReaderRole.CARRYING or (self._routes and self._routes.followers):
+        if self.role is ReaderRole.RELAYING or (self._routes and self._routes.followers):
             self._gather_until = now + LINGER_SECONDS
         return now < self._gather_until
 
@@ -233,34 +233,34 @@
         return [each for each in self._agents if assigned.get(each.place) == own]
 
     async def _follow_zone(self, place: PlaceName) -> None:
-        """Follow a carrier of another zone until cancelled."""
+        """Follow a relay of another zone until cancelled."""
         source = NodeId(place)
         own = self._members.own.node_id
         try:
             while True:
-                carrier = self._members.pick_carrier(place)
-                if carrier is None:
+                relay = self._members.pick_relay(place)
+                if relay is None:
                     await asyncio.sleep(LOOK_SECONDS)
                     continue
                 heard = False
 
-                def take(frame: Frame, mirror: ReadingMirror, by: Member = carrier) -> None:
+                def take(frame: Frame, mirror: ReadingMirror, by: Member = relay) -> None:
                     nonlocal heard
                     if not heard:
                         heard = True
                         self._gathered.forget(source)
-                        self._members.record_carrier(by, heard=True)
-                        note(_LOG, "zone heard", place=place, carrier=by.node_id)
+                        self._members.record_relay(by, heard=True)
+                        note(_LOG, "zone heard", place=place, relay=by.node_id)
                     self._take_zone_frame(frame, mirror, place)
 
                 reason = await read_frames(
-                    self._session, carrier.internal, FrameScope.ZONE, own, take
+                    self._session, relay.internal, FrameScope.ZONE, own, take
                 )
-                self._members.record_carrier(carrier, heard=False)
+                self._members.record_relay(relay, heard=False)
                 if not heard:
                     # Nobody there may tell of it: its whole zone may be dark.
-                    self._members.take_states({carrier.node_id: NodeState.LOST})
-                note(_LOG, "zone lost", place=place, carrier=carrier.node_id, reason=reason)
+                    self._members.take_states({relay.node_id: NodeState.LOST})
+                note(_LOG, "zone lost", place=place, relay=relay.node_id, reason=reason)
         finally:
             self._gathered.forget(source)
 
@@ -271,7 +271,7 @@
         for address, report in (frame.reports or {}).items():
             self._gathered.record_report(address, report, place)
         heard_engines = self._gathered.refresh_reports(place, frame.lost)
-        if self.role is ReaderRole.CARRYING:
+        if self.role is ReaderRole.RELAYING:
             self._take_reports(frame, heard_engines, now)
         self._members.take_states(frame.states or {})
         self._take_readings(frame, mirror)
--- a/packages/wrenloft-routing/tests/test_beliefs.py
+++ b/packages/wrenloft-routing/tests/test_beliefs.py
@@ -269,7 +269,7 @@
         assert len(members.choose(PlaceName("q"), REGION)) == 3
 
     def test_lost_node_is_no_longer_named(self) -> None:
-        """A node that its zone's carrier has lost, or that says it is not ready, is out at once."""
+        """A node that its zone's relay has lost, or that says it is not ready, is out at once."""
         members = Members(_member("a"))
         members.update([_member("b"), _member("c"), _member("d")])
         assert "b:80" in members.choose(PLACE, REGION)
@@ -293,12 +293,12 @@
         assert members.get(NodeId("b")) is not None
         assert members.get(NodeId("c")) is None
 
-    def test_carrier_that_was_lost_is_passed_over_for_a_while(
+    def test_relay_that_was_lost_is_passed_over_for_a_while(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """A node's carrier dies. It asks the next, at last itself, and later the first again.
+        """A node's relay dies. It asks the next, at last itself, and later the first again.
 
-        Each further loss in a row keeps a carrier out for longer, so that a dark one costs little.
+        Each further loss in a row keeps a relay out for longer, so that a dark one costs little.
         """
         clock = _Clock()
         monkeypatch.setattr("wrenloft_routing._members.read_clock", clock.read)
@@ -307,20 +307,20 @@
         members.update([_member("b"), _member("c")])
         order = [each.node_id for each in members.rank_place(PLACE)]
         picked = []
-        while (carrier := members.pick_carrier(PLACE)) is not own:
-            assert carrier is not None
-            picked.append(carrier.node_id)
-            members.record_carrier(carrier, heard=False)
+        while (relay := members.pick_relay(PLACE)) is not own:
+            assert relay is not None
+            picked.append(relay.node_id)
+            members.record_relay(relay, heard=False)
         assert picked == order[: order.index(own.node_id)]
         clock.now += 1.5
-        assert members.pick_carrier(PLACE) is members.rank_place(PLACE)[0]
+        assert members.pick_relay(PLACE) is members.rank_place(PLACE)[0]
 
     def test_dark_zone_is_tried_again(self) -> None:
-        """All carriers of another zone were lost; it may be back, and nobody else would tell."""
+        """All relays of another zone were lost; it may be back, and nobody else would tell."""
         members = Members(_member("a"))
         members.update([_member("x", "q"), _member("y", "q")])
         members.take_states({NodeId("x"): NodeState.LOST, NodeId("y"): NodeState.LOST})
-        assert members.pick_carrier(PlaceName("q")) is not None
+        assert members.pick_relay(PlaceName("q")) is not None
 
 
 class _Clock:
@@ -335,7 +335,7 @@
     fetch: Callable[[], Any],
     taken: list[Taken],
     session: ClientSession,
-    role: ReaderRole = ReaderRole.CARRYING,
+    role: ReaderRole = ReaderRole.RELAYING,
     members: Members | None = None,
 ) -> tuple[SharedReading, Members]:
     members = members or Members(_member("a"))
@@ -404,8 +404,8 @@
             shared.accept(Taken(Reading((), 6), 101.0, True))
         assert [each.reading.revision for each in taken] == [7]
 
-    async def test_one_carrier_reads_for_all(self) -> None:
-        """Of all carriers the first zone's reads; the others take over when it falls silent.
+    async def test_one_relay_reads_for_all(self) -> None:
+        """Of all relays the first zone's reads; the others take over when it falls silent.
 
         Without an order, each change of reader would let all of them call the store at once.
         """
@@ -445,8 +445,8 @@
             await asyncio.gather(*tasks, return_exceptions=True)
         assert calls < 40
 
-    async def test_node_whose_carrier_has_no_fresh_reading_reads_itself(self) -> None:
-        """The store turns the zone's carrier away, and serves this node."""
+    async def test_node_whose_relay_has_no_fresh_reading_reads_itself(self) -> None:
+        """The store turns the zone's relay away, and serves this node."""
 
         async def fetch() -> Reading:
             return Reading((), 3)
--- a/packages/wrenloft-routing/tests/test_carrier.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -1,4 +1,4 @@
-"""Tests of frames, of what a carrier gathers, and of nodes that follow one over the loopback."""
+"""Tests of frames, of what a relay gathers, and of nodes that follow one over the loopback."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -119,8 +119,8 @@
 
 
 @dataclass
-class _Carrier:
-    """A carrier's state, without a network."""
+class _Relay:
+    """A relay's state, without a network."""
 
     endpoints: Endpoints
     members: Members
@@ -132,7 +132,7 @@
 
 
 @asynccontextmanager
-async def _carrier() -> AsyncIterator[_Carrier]:
+async def _relay() -> AsyncIterator[_Relay]:
     endpoints = Endpoints(PlaceName("p"), REGION)
     members = Members(Member(NodeId("c"), PlaceName("p"), REGION, "c:80", "c:1"))
     gathered = Gathered(endpoints, members, dict)
@@ -148,62 +148,62 @@
             1.0,
             members,
             session,
-            lambda: ReaderRole.CARRYING,
+            lambda: ReaderRole.RELAYING,
             Random(1),
         )
-        yield _Carrier(endpoints, members, gathered, shared)
+        yield _Relay(endpoints, members, gathered, shared)
 
 
 class TestFrameWriter:
     """Tests for ``FrameWriter``."""
 
     async def test_follower_is_not_told_its_own_requests(self) -> None:
-        """A node knows what it has sent itself, sooner than its carrier.
+        """A node knows what it has sent itself, sooner than its relay.
 
         Told of it too, it would count each of its requests twice and refuse callers for it.
         """
-        async with _carrier() as carrier:
+        async with _relay() as relay:
             own, other = NodeId("f"), NodeId("g")
-            carrier.gathered.record_node(own, LoadUpdate({ENGINE: InProgress(1, 10, 2)}, {}))
-            carrier.gathered.record_node(other, LoadUpdate({ENGINE: InProgress(2, 20, 3)}, {}))
-            carrier.gathered.record_zone(
+            relay.gathered.record_node(own, LoadUpdate({ENGINE: InProgress(1, 10, 2)}, {}))
+            relay.gathered.record_node(other, LoadUpdate({ENGINE: InProgress(2, 20, 3)}, {}))
+            relay.gathered.record_zone(
                 PlaceName("q"), LoadUpdate({ENGINE: InProgress(0, 0, 4)}, {}, nodes=5)
             )
-            frame, _ = carrier.follow(FrameScope.FLEET).compose(1.0)
+            frame, _ = relay.follow(FrameScope.FLEET).compose(1.0)
             assert frame.loads == {ENGINE: InProgress(2, 20, 7)}
             assert frame.heard == 1 + 1 + 5
-            zone, _ = carrier.follow(FrameScope.ZONE).compose(1.0)
+            zone, _ = relay.follow(FrameScope.ZONE).compose(1.0)
             assert zone.loads == {ENGINE: InProgress(3, 30, 5)}
 
     async def test_only_changes_are_told(self) -> None:
         """A frame without news is short, and an endpoint that became idle is told once."""
-        async with _carrier() as carrier:
-            writer = carrier.follow(FrameScope.FLEET)
+        async with _relay() as relay:
+            writer = relay.follow(FrameScope.FLEET)
             node = NodeId("g")
-            carrier.gathered.record_node(node, LoadUpdate({ENGINE: InProgress(1, 10, 0)}, {}))
+            relay.gathered.record_node(node, LoadUpdate({ENGINE: InProgress(1, 10, 0)}, {}))
             assert writer.compose(1.0)[0].loads
             frame, changed = writer.compose(2.0)
             assert (frame.loads, changed) == ({}, False)
-            carrier.gathered.forget(node)
-            carrier.gathered._summed_at = 0.0
+            relay.gathered.forget(node)
+            relay.gathered._summed_at = 0.0
             assert writer.compose(3.0)[0].loads == {ENGINE: InProgress()}
 
     async def test_lost_agent_is_told(self) -> None:
         """An engine's agent falls silent: what it said last must not pass for fresh elsewhere."""
-        async with _carrier() as carrier:
-            writer = carrier.follow(FrameScope.FLEET)
+        async with _relay() as relay:
+            writer = relay.follow(FrameScope.FLEET)
             report = EngineReport(1, 0, 2, False, 1.0)
-            carrier.gathered.record_report("h:1", report, PlaceName("p"))
+            relay.gathered.record_report("h:1", report, PlaceName("p"))
             assert writer.compose(1.0)[0].reports == {"h:1": report}
-            carrier.gathered.forget_report("h:1")
+            relay.gathered.forget_report("h:1")
             assert writer.compose(2.0)[0].lost == ("h:1",)
 
     @pytest.mark.parametrize("seed", range(20))
     async def test_mirror_follows_whatever_is_read(self, seed: int) -> None:
-        """Entries come, change and go between frames; the follower has what the carrier has."""
+        """Entries come, change and go between frames; the follower has what the relay has."""
         random = Random(seed)
-        async with _carrier() as carrier:
-            writer = carrier.follow(FrameScope.READINGS)
+        async with _relay() as relay:
+            writer = relay.follow(FrameScope.READINGS)
             mirror = ReadingMirror(0.0)
             mirrored: dict[str, int] = {}
             content: dict[str, int] = {}
@@ -215,7 +215,7 @@
                     content[key] = revision
                 found = tuple(Item(each, b"v", number) for each, number in content.items())
                 taken = Taken(Reading(found, revision), read_clock(), True)
-                carrier.shared.accept(taken)
+                relay.shared.accept(taken)
                 if random.random() < 0.6:
                     frame, _ = writer.compose(read_clock())
                     for change in decode_frame(encode_frame(frame)).readings:
@@ -228,14 +228,14 @@
     """Tests for ``ReadingMirror``."""
 
     def test_reading_never_looks_younger_than_it_is(self) -> None:
-        """A carrier's host has been up for another time, and its frame was long on its way.
+        """A relay's host has been up for another time, and its frame was long on its way.
 
         Keys that were taken away are refused by the age of the proof: counted from the frame's
         arrival, a key would be good for as long again as the frame was held up.
         """
-        asked_at, made_at_by_carrier = 100.0, 5000.0
-        mirror = ReadingMirror(made_at_by_carrier - asked_at)
-        change = ReadingChange("x", made_at_by_carrier - 3.0, True, 7, (), ())
+        asked_at, made_at_by_relay = 100.0, 5000.0
+        mirror = ReadingMirror(made_at_by_relay - asked_at)
+        change = ReadingChange("x", made_at_by_relay - 3.0, True, 7, (), ())
         assert mirror.apply(change).begun_at == asked_at - 3.0
 
 
@@ -331,19 +331,19 @@
                 await _wait_for(lambda n=node, w=weight: n.hears == total - 2**w)
             assert all(node.endpoints.others.count_heard() == 5 for node in nodes.values())
 
-    async def test_one_carrier_serves_its_zone(self) -> None:
-        """Connections of a node that carries for nobody don't grow with the fleet."""
+    async def test_one_relay_serves_its_zone(self) -> None:
+        """Connections of a node that relays for nobody don't grow with the fleet."""
         async with _fleet(*self.NAMES) as nodes:
             await _wait_for(
                 lambda: all(node.link.role is not ReaderRole.STARTING for node in nodes.values())
             )
-            carrying = [
-                name for name, node in nodes.items() if node.link.role is ReaderRole.CARRYING
+            relaying = [
+                name for name, node in nodes.items() if node.link.role is ReaderRole.RELAYING
             ]
-            assert sorted(name[0] for name in carrying) == ["p", "q"]
+            assert sorted(name[0] for name in relaying) == ["p", "q"]
 
-    async def test_carrier_that_dies_is_replaced(self, caplog: pytest.LogCaptureFixture) -> None:
-        """The node that carries for a zone dies while all others have requests in progress.
+    async def test_relay_that_dies_is_replaced(self, caplog: pytest.LogCaptureFixture) -> None:
+        """The node that relays for a zone dies while all others have requests in progress.
 
         They follow the next one, hear one another again, and none of them names the dead one. Its
         own requests stop counting.
@@ -353,12 +353,12 @@
             for node in nodes.values():
                 node.send(1)
             await _wait_for(lambda: all(node.hears == 5 for node in nodes.values()))
-            (carrier,) = [
+            (relay,) = [
                 name
                 for name, node in nodes.items()
-                if node.link.role is ReaderRole.CARRYING and name[0] == "p"
+                if node.link.role is ReaderRole.RELAYING and name[0] == "p"
             ]
-            dead = nodes.pop(carrier)
+            dead = nodes.pop(relay)
             await dead.stack.aclose()
             await _wait_for(lambda: all(node.hears == 4 for node in nodes.values()))
             near = [node for node in nodes.values() if node.place == "p"]
@@ -368,27 +368,27 @@
                     for node in near
                 )
             )
-        assert sum(record.message == "carrier lost" for record in caplog.records) >= 3
+        assert sum(record.message == "relay lost" for record in caplog.records) >= 3
 
     async def test_node_that_starts_while_the_store_is_away_follows_who_asks(self) -> None:
         """A node starts anew during an outage of the store, and cannot read who else is there.
 
-        The carrier still knows its address and asks it for its load; the node follows that one,
+        The relay still knows its address and asks it for its load; the node follows that one,
         and so has the configuration and the endpoints within a second instead of after the outage.
         """
         async with _fleet("p1", "p2", "p3") as nodes:
             for node in nodes.values():
                 node.send(1)
             await _wait_for(lambda: all(node.hears == 2 for node in nodes.values()))
-            (carrier,) = [node for node in nodes.values() if node.link.role is ReaderRole.CARRYING]
-            late = _Node("p9", "p", carrier.session)
+            (relay,) = [node for node in nodes.values() if node.link.role is ReaderRole.RELAYING]
+            late = _Node("p9", "p", relay.session)
             await late.start()
             late.run()
             async with late.stack:
                 assert late.link.role is ReaderRole.STARTING
-                carrier.members.update(
+                relay.members.update(
                     [
-                        *(carrier.members.others(near=True)),
+                        *(relay.members.others(near=True)),
                         Member(
                             NodeId("p9"), PlaceName("p"), REGION, "p9:80", late.members.own.internal
                         ),
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
@@ -1,8 +1,8 @@
 """Which agents fetch a chunk for the others: from the origin, and across regions."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-from wrenloft_policy import FEEDERS, list_feeders, pick_part
+from wrenloft_policy import FEEDERS, list_feeders, pick_parts
 from wrenloft_swarm._ports import Neighbour
 
 LEAST_AT_ORIGIN = 3
@@ -24,6 +24,7 @@
     ) -> None:
         everyone = [own, *others]
         self.addresses = sorted(each.address for each in everyone)
+        self._part_by_address = pick_parts(self.addresses, parts)
         self._parts = parts
         self._chunks = chunks
         near = [own, *(each for each in others if each.near)]
@@ -41,7 +42,7 @@
         addresses = sorted(each.address for each in members)
         split: list[list[str]] = [[] for _ in range(self._parts)]
         for address in addresses:
-            split[pick_part(address, self.addresses, self._parts)].append(address)
+            split[self._part_by_address[address]].append(address)
         return [each or addresses for each in split]
 
     def part_of(self, chunk: int) -> int:
@@ -66,9 +67,11 @@
         """Return the agents of this region that may bring a chunk over from another one."""
         return self._near[self.part_of(chunk)]
 
-    def list_feeders(self, chunk: int, age: float) -> list[str]:
-        """Return the agents that may fetch a chunk from the origin now.
+    def remember_feeders(self, age: float) -> Callable[[int], list[str]]:
+        """Return what gives the agents that may fetch a chunk from the origin now.
 
         :param age: seconds since the transfer began.
         """
-        return list_feeders(self._at_origin[self.part_of(chunk)], age, FEEDERS // self._parts)
+        each = FEEDERS // self._parts
+        feeders = [list_feeders(members, age, each) for members in self._at_origin]
+        return lambda chunk: feeders[self.part_of(chunk)]
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -17,7 +17,7 @@
 _LOG = logging.getLogger(__name__)
 
 REPORT_SECONDS = 0.2
-"""Least time between two reports to a carrier that differ in the engine's load only. What entry
+"""Least time between two reports to a relay that differ in the engine's load only. What entry
 nodes have in progress says the same sooner; what an engine serves is told at once."""
 
 REPORT_IDLE_SECONDS = 0.4
@@ -100,7 +100,7 @@
     """Routes for entry nodes and for other agents.
 
     :param pacer: for all chunks sent from here.
-    :param on_carrier: called with the address of each entry node that follows the reports.
+    :param on_relay: called with the address of each entry node that follows the reports.
     :param on_version: called with each model and version that others ask for.
     """
 
@@ -111,9 +111,9 @@
         is_stopping: Callable[[], bool],
         on_version: Callable[[str, int], None],
         pacer: Pacer,
-        on_carrier: Callable[[str], None],
+        on_relay: Callable[[str], None],
     ) -> None:
-        self._on_carrier = on_carrier
+        self._on_relay = on_relay
         self._possession_followers = 0
         self._pacer = pacer
         self._on_version = on_version
@@ -133,7 +133,7 @@
         ]
 
     async def _stream_reports(self, request: web.Request) -> web.StreamResponse:
-        self._on_carrier(request.query.get("carrier", ""))
+        self._on_relay(request.query.get("relay", ""))
         response = web.StreamResponse()
         await response.prepare(request)
         while not self._is_stopping():
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -59,6 +59,11 @@
 PROGRESS_SECONDS = 1.0
 """Between two log lines on a transfer."""
 
+LEAST_REST_SECONDS = 0.02
+"""Least time between two choices that no chunk's arrival calls for. Thirty neighbours tell what
+they hold up to three hundred times a second in all; a choice takes 0.4 ms, all an eighth of a
+core."""
+
 _IDLE_SECONDS = 0.05
 _ORIGIN_PAUSE = 0.2
 
@@ -113,6 +118,7 @@
         self._own = own
         self._random = random
         self._wake = asyncio.Event()
+        self._arrived = asyncio.Event()
         self._possessions = Possessions(holding.name, session, self._wake)
         self._in_flight: set[int] = set()
         self._from_origin = 0
@@ -187,11 +193,11 @@
         return held.bit_count()
 
     async def _rest(self) -> None:
-        try:
-            async with asyncio.timeout(_IDLE_SECONDS):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
+        """Wait until a fetch has ended, or a moment has passed and neighbours told something."""
+        await _wait(self._arrived, LEAST_REST_SECONDS)
+        if not self._arrived.is_set():
+            await _wait(self._wake, _IDLE_SECONDS - LEAST_REST_SECONDS)
+        self._arrived.clear()
         self._wake.clear()
 
     def _start_fetches(self, group: asyncio.TaskGroup) -> None:
@@ -217,7 +223,7 @@
             [_describe_source(each, now) for each in usable],
             self._own.address,
             duties.list_carriers,
-            lambda chunk: duties.list_feeders(chunk, now - self._begun_at),
+            duties.remember_feeders(now - self._begun_at),
             lambda chunk: now - self._begun_at > HELP_SECONDS and duties.may_feed(chunk),
             lambda chunk: self._may_cross(chunk, duties, now),
             self._measure_waits(missing, now),
@@ -281,6 +287,7 @@
                 self._from_origin -= 1
             elif followed is not None:
                 followed.busy -= 1
+            self._arrived.set()
             self._wake.set()
 
     async def _fetch_from_neighbour(self, chunk: int, followed: Followed) -> None:
@@ -323,3 +330,11 @@
         SPOILT.labels(source).inc()
         self.spoilt[chunk] = self.spoilt.get(chunk, 0) + 1
         warn(_LOG, "spoilt chunk", chunk=chunk, reason=str(error), times=self.spoilt[chunk])
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        pass  # time to look again
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from math import ceil, log2
 from random import Random
 from typing import Any, TypeVar
 
@@ -51,10 +52,14 @@
 ORDER_RETRY_SECONDS = 0.1
 """Pause after an order that met a busy engine; it ends a pass about as often."""
 
-NEIGHBOUR_TRIES = 3
-NEIGHBOURS_ASKED = 3
-"""Rounds and neighbours a round before the origin is asked for a list of digests: 0.3 s, in which
-a feeder has had it. The list is 7 KB, a twentieth of a second of a host's link."""
+DIGEST_ROUNDS = 3
+"""Rounds in which neighbours are asked for a list of digests before the origin is, with up to eight
+agents; each round takes 0.1 s, and a feeder has the list after the second. For each doubling of
+the agents there are two more: the list passes from agent to agent."""
+
+DIGEST_NEIGHBOURS = 2
+"""Neighbours asked in a round besides one of the feeders. The list is 7 KB; asked of the feeders
+alone, it took the link of each for half a second where there were a hundred agents."""
 
 SPOILT_LIMIT = 3
 """Times a chunk may come spoilt before its digest is doubted: the list may be what is wrong."""
@@ -339,7 +344,7 @@
         of its link as several chunks.
         """
         if not self._is_feeder():
-            for _ in range(NEIGHBOUR_TRIES):
+            for _ in range(_count_digest_rounds(len(self._means.neighbours()))):
                 if (digests := await self._ask_neighbours(name)) is not None:
                     return digests
                 await asyncio.sleep(REPORT_SECONDS)
@@ -356,15 +361,18 @@
 
     def _list_feeders(self) -> list[str]:
         duties = Duties(self._means.own, self._means.neighbours(), parts=1, chunks=1)
-        return duties.list_feeders(0, 0.0)
+        return duties.remember_feeders(0.0)(0)
 
     async def _ask_neighbours(self, name: VersionName) -> tuple[str, ...] | None:
-        """Ask a few neighbours, feeders first, for a version's digests."""
-        addresses = [each.address for each in self._means.neighbours()]
-        feeders = set(self._list_feeders())
-        self._means.random.shuffle(addresses)
-        addresses.sort(key=lambda each: each not in feeders)
-        for address in addresses[:NEIGHBOURS_ASKED]:
+        """Ask a feeder and a few others for a version's digests."""
+        random = self._means.random
+        neighbours = self._means.neighbours()
+        known = {each.address for each in neighbours}
+        feeders = [each for each in self._list_feeders() if each in known]
+        near = [each.address for each in neighbours if each.near] or sorted(known)
+        addresses = random.sample(feeders, min(1, len(feeders)))
+        addresses += random.sample(near, min(DIGEST_NEIGHBOURS, len(near)))
+        for address in dict.fromkeys(addresses):
             try:
                 return await fetch_digests(self._means.session, address, name)
             except PlatformUnavailableError:
@@ -564,3 +572,7 @@
             return await call
 
     return list(await asyncio.gather(*(run(each) for each in calls)))
+
+
+def _count_digest_rounds(neighbours: int) -> int:
+    return DIGEST_ROUNDS + 2 * max(0, ceil(log2(max(1, neighbours) / 8)))
--- a/packages/wrenloft-swarm/tests/test_neighbours.py
+++ b/packages/wrenloft-swarm/tests/test_neighbours.py
@@ -1,11 +1,16 @@
 """Tests of which agents follow which."""
 
 from collections import Counter
+from random import Random
+from unittest.mock import Mock, patch
 
 import pytest
 
-from wrenloft_swarm import Neighbour
+from wrenloft_core import ModelName, PlatformUnavailableError
+from wrenloft_swarm import Holdings, LatestState, Means, Neighbour, Upkeep
+from wrenloft_swarm._holdings import VersionName
 from wrenloft_swarm._neighbours import choose_followed
+from wrenloft_swarm._upkeep import _count_digest_rounds
 
 
 def _fleet(regions: int, each: int) -> list[tuple[str, str]]:
@@ -51,3 +56,63 @@
             hops += 1
             reached |= {own for own, followed in links.items() if reached & set(followed)}
             assert hops <= 3
+
+
+class TestFindDigests:
+    """Tests of how a list of digests reaches many agents."""
+
+    @staticmethod
+    async def _spread(agents: int) -> tuple[int, Counter[str]]:
+        """Let agents look for the list round by round; return the rounds, and who was asked."""
+        addresses = [f"10.0.0.{n}:1" for n in range(agents)]
+        asked: Counter[str] = Counter()
+        holders: set[str] = set()
+
+        def build(address: str) -> Upkeep:
+            others = [Neighbour(each, near=True) for each in addresses if each != address]
+            means = Means(
+                engine=Mock(),
+                origin=Mock(),
+                session=Mock(),
+                holdings=Holdings(),
+                latest=LatestState(),
+                neighbours=lambda: others,
+                own=Neighbour(address, near=True),
+                link_rate=1e6,
+                chunk_bytes=100,
+                random=Random(address),
+            )
+            return Upkeep(ModelName("m"), means)
+
+        upkeeps = {address: build(address) for address in addresses}
+        holders |= {each for each, upkeep in upkeeps.items() if upkeep._is_feeder()}
+
+        async def ask(_: object, address: str, __: object) -> tuple[str, ...]:
+            asked[address] += 1
+            if address not in holders:
+                raise PlatformUnavailableError("none yet", step="fetch-digests")
+            return ("d",)
+
+        rounds = 0
+        with patch("wrenloft_swarm._upkeep.fetch_digests", ask):
+            while len(holders) < agents:
+                rounds += 1
+                seekers = [each for each in addresses if each not in holders]
+                found = [
+                    each
+                    for each in seekers
+                    if await upkeeps[each]._ask_neighbours(VersionName(ModelName("m"), 2))
+                ]
+                holders |= set(found)
+        return rounds, asked
+
+    @pytest.mark.parametrize("agents", [8, 36, 119])
+    async def test_no_feeder_is_asked_by_all_at_once(self, agents: int) -> None:
+        """A version is named, and every agent but four looks for its list of digests.
+
+        Asked by all, the four would send it a hundred times over while the first chunks wait, and
+        those that had no answer would ask the origin, which takes few connections.
+        """
+        rounds, asked = await self._spread(agents)
+        assert rounds <= _count_digest_rounds(agents - 1)
+        assert max(asked.values()) <= agents / 2
