Drain the origin without second copies; tell what the store holds as soon as it has changed

After 1.0 s all twelve agents of its region took what they did not see for late and fetched it besides the feeders; after 1.5 s the turns passed on. When it was back, all agents asked it at once.

Ruled out: link rates (64 chunks in 2.8 s at the origin), the uplinks (9 of 12 chunks a second used), refusals (the 720 refused connections fell into the time in which the origin was away).

Change: chunks are late when the origin's link could have sent them all, or when nobody has got a new one for a second; the next four help then, and agents ask out of turn one after the other. Readings are told to nodes and agents when they change, not at the next look, and a change that the watch saw is read at once.

--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -50,6 +50,7 @@
 from wrenloft_core._pacing import Pacer
 from wrenloft_core._secrets import hash_key, matches_digest, matches_secret
 from wrenloft_core._settings import read_settings, structure_settings
+from wrenloft_core._signals import Signal
 
 __all__ = [
     "AgentId",
@@ -86,6 +87,7 @@
     "ServiceName",
     "SettingsError",
     "ShardNumber",
+    "Signal",
     "Unknown",
     "VersionDigest",
     "WrenloftError",
--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -28,10 +28,13 @@
 from wrenloft_policy._entries import EntryNode, choose_entries
 from wrenloft_policy._fetching import (
     FEEDERS,
+    TURN_SECONDS,
     ChunkSource,
     Pick,
     choose_fetch,
     list_feeders,
+    measure_lateness,
+    measure_origin_patience,
     rank_turn,
 )
 from wrenloft_policy._layers import (
@@ -91,6 +94,7 @@
     "SELF_READ_SECONDS",
     "STALE_FACTOR",
     "SWAP_GROUPS",
+    "TURN_SECONDS",
     "URGENCIES",
     "Candidate",
     "ChainPart",
@@ -149,6 +153,8 @@
     "list_span_chunks",
     "matches",
     "measure_frame_interval",
+    "measure_lateness",
+    "measure_origin_patience",
     "measure_read_patience",
     "must_insist",
     "must_load_part",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_fetching.py
@@ -19,6 +19,20 @@
 IDLE_PATIENCE = 1.0
 """Seconds without any chunk after which turns no longer count: better twice than never."""
 
+PATIENCE_STEP = 0.25
+"""Seconds by which each further agent waits longer before it asks the origin out of turn. All 33 at
+once, when it had been away, drew 35 chunks of which 17 were missing."""
+
+DRAIN_MARGIN = 1.2
+"""Times of the seconds in which the origin's link carries a version, after which chunks that
+nobody holds are late. Counted from the beginning alone, turns passed on after 1.5 s and others
+helped after 1.0 s, while the feeders still had the chunks on their way: of the first 64 chunks that
+left the origin, 17 were second copies, and it went away before 17 others."""
+
+STALL_SECONDS = 1.0
+"""Time in which nobody got a chunk that nobody had, after which the rest is late as well: the
+agents whose turn it is may be dead."""
+
 
 @dataclass(frozen=True, slots=True)
 class ChunkSource:
@@ -51,15 +65,35 @@
     return members[(chunk + int(waited / CROSSING_SECONDS)) % len(members)]
 
 
-def list_feeders(members: Sequence[str], age: float, count: int = FEEDERS) -> list[str]:
+def measure_lateness(age: float, stalled: float, drain_seconds: float) -> float:
+    """Return for how many seconds chunks that nobody holds have been late, 0 if they are not.
+
+    :param age: seconds since the transfer began.
+    :param stalled: seconds since a chunk that nobody had was first seen.
+    :param drain_seconds: in which the origin's link carries a version.
+    """
+    return max(0.0, age - DRAIN_MARGIN * drain_seconds, stalled - STALL_SECONDS)
+
+
+def measure_origin_patience(rank: int) -> float:
+    """Return the seconds without a chunk after which an agent asks the origin out of turn.
+
+    :param rank: its place in the common order, those of the origin's region first.
+    """
+    return IDLE_PATIENCE + PATIENCE_STEP * rank
+
+
+def list_feeders(members: Sequence[str], late: float, count: int = FEEDERS) -> list[str]:
     """Return the agents that may fetch from the origin now, spread over the common order.
 
+    :param late: seconds for which chunks have been late; turns pass on with them.
+
     :param members: agents that could, best those of the origin's region: a chunk that enters
         another region first crosses to the origin's region a second time.
     :param count: how many.
     """
     count = min(count, len(members))
-    skip = int(age / TURN_SECONDS)
+    skip = int(late / TURN_SECONDS)
     return [
         members[(index * len(members) // count + skip) % len(members)] for index in range(count)
     ]
@@ -80,6 +114,7 @@
     origin_repeats: bool,
     random: Random,
     busy_limit: int,
+    origin_patience: float = IDLE_PATIENCE,
 ) -> Pick | None:
     """Choose the next chunk to fetch.
 
@@ -104,6 +139,7 @@
         turn there have not left it. The origin may go away at any moment: shared with neighbours'
         chunks, three feeders took 21 chunks a second of 37 that its link gives, and 14 of 64 were
         missing to everybody when it went away 2.3 s after the naming.
+    :param origin_patience: seconds without a chunk after which turns at the origin no longer count.
     :param origin_repeats: whether that may be a chunk that others hold, but fewer than half of
         them. The uplinks of the origin's region carry every chunk to the other regions besides
         their own, and bind; an agent that joins finds enough holders without the origin.
@@ -116,7 +152,7 @@
     if mine and origin_first and not origin_free:
         return None
     if origin_free:
-        if mine or (impatient and unheld):
+        if mine or (idle > origin_patience and unheld):
             return Pick(random.choice(mine or unheld), None)
         late = [chunk for chunk in unheld if may_help(chunk)]
         if late:
@@ -138,7 +174,7 @@
     ]
     near = [each for each in sources if each.near and each.busy < busy_limit]
     found = _pick_from(crossing, far, counts, random) or _pick_from(missing, near, counts, random)
-    if found is None and origin_free and idle > 2 * IDLE_PATIENCE and missing:
+    if found is None and origin_free and idle > IDLE_PATIENCE + origin_patience and missing:
         return Pick(random.choice(missing), None)
     return found
 
--- a/packages/wrenloft-policy/tests/test_fetching.py
+++ b/packages/wrenloft-policy/tests/test_fetching.py
@@ -2,7 +2,13 @@
 
 from random import Random
 
-from wrenloft_policy import ChunkSource, choose_fetch, list_feeders
+from wrenloft_policy import (
+    ChunkSource,
+    choose_fetch,
+    list_feeders,
+    measure_lateness,
+    measure_origin_patience,
+)
 
 NEAR = ["10.1.0.1:1", "10.1.0.2:1"]
 FAR = ["10.2.0.1:1"]
@@ -122,3 +128,26 @@
     def test_small_swarms_all_feed(self) -> None:
         """Two agents are two feeders."""
         assert set(list_feeders(["a", "b"], 0.0)) == {"a", "b"}
+
+
+class TestLateness:
+    """Tests for ``measure_lateness`` and ``measure_origin_patience``."""
+
+    def test_chunks_are_not_late_while_the_origin_is_drained(self) -> None:
+        """The origin's link needs 2.8 s for a version, and a chunk leaves it every 0.05 s.
+
+        Taken for late after a second, what the feeders had on their way was fetched again by
+        others, and the origin went away before a quarter of the chunks had left it.
+        """
+        assert measure_lateness(age=2.5, stalled=0.3, drain_seconds=2.8) == 0.0
+        assert measure_lateness(age=5.0, stalled=0.3, drain_seconds=2.8) > 1.0
+
+    def test_dead_feeders_are_replaced(self) -> None:
+        """The agents whose turn it is die: nobody gets anything, and turns pass on."""
+        assert measure_lateness(age=2.0, stalled=1.8, drain_seconds=4.3) > 0.0
+
+    def test_not_everybody_asks_when_the_origin_is_back(self) -> None:
+        """It was away for seconds and no agent got a chunk; 35 of them would draw one each."""
+        patience = [measure_origin_patience(rank) for rank in range(35)]
+        assert sum(each < 2.0 for each in patience) <= 5
+        assert patience == sorted(patience)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frame_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frame_streams.py
@@ -6,7 +6,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
-from wrenloft_core import NodeId, note, read_clock
+from wrenloft_core import NodeId, Signal, note, read_clock
 from wrenloft_policy import measure_frame_interval
 from wrenloft_routing._frames import Frame, FrameScope, decode_frame, encode_frame
 from wrenloft_routing._gathered import FrameWriter, Gathered
@@ -25,12 +25,10 @@
 FRAME_CONNECT_SECONDS = 0.3
 """Longest wait for a connection to a relay; across regions it takes 6 ms."""
 
-AGENT_FRAME_SECONDS = 0.1
-"""Between two frames to an agent, which waits for a version's name."""
-
 AGENT_IDLE_SECONDS = 0.5
 AGENT_SILENCE_SECONDS = 1.5
-"""The same as for nodes, for agents: they go on without a relay and can wait longer."""
+"""The same as for nodes, for agents: they go on without a relay and can wait longer. What the store
+holds is told to both as soon as it has changed: a version's weights have seconds to arrive."""
 
 FRAMES_PATH = "/frames"
 
@@ -41,10 +39,13 @@
 class FrameRoutes:
     """Tells others what this node has gathered, as their relay.
 
+    :param news: fired whenever the store's content has changed.
+
     ``followers`` counts who listens; while anybody does, this node gathers.
     """
 
-    def __init__(self, gathered: Gathered, readings: list[SharedReading]) -> None:
+    def __init__(self, gathered: Gathered, readings: list[SharedReading], news: Signal) -> None:
+        self._news = news
         self._gathered = gathered
         self._readings = readings
         self._counts = dict.fromkeys(FrameScope, 0)
@@ -89,18 +90,13 @@
             if changed or now - told_at >= FRAME_IDLE_SECONDS:
                 told_at = now
                 await _write(response, frame)
-            await asyncio.sleep(measure_frame_interval(self._counts[scope]))
+            await self._news.wait(measure_frame_interval(self._counts[scope]))
 
-    @staticmethod
-    async def _write_readings(response: web.StreamResponse, writer: FrameWriter) -> None:
-        told_at = float("-inf")
+    async def _write_readings(self, response: web.StreamResponse, writer: FrameWriter) -> None:
         while True:
-            now = read_clock()
-            if writer.has_news() or now - told_at >= AGENT_IDLE_SECONDS:
-                told_at = now
-                frame, _ = writer.compose(now)
-                await _write(response, frame)
-            await asyncio.sleep(AGENT_FRAME_SECONDS)
+            frame, _ = writer.compose(read_clock())
+            await _write(response, frame)
+            await self._news.wait(AGENT_IDLE_SECONDS)
 
 
 async def _write(response: web.StreamResponse, frame: Frame) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
@@ -8,7 +8,7 @@
 from wrenloft_routing._frames import Frame, FrameScope, ReadingChange
 from wrenloft_routing._loads import NOTHING, InProgress, LoadUpdate, PeerLoads, QueueLength
 from wrenloft_routing._members import Members, NodeState
-from wrenloft_routing._readings import Reading, SharedReading
+from wrenloft_routing._readings import SharedReading
 
 SAME_SECONDS = 0.01
 """How long a sum over all nodes is used again: followers asked in one turn are told the same."""
@@ -179,14 +179,6 @@
         self._revisions: dict[str, dict[str, int]] = {}
         self._begun_at: dict[str, float] = {}
 
-    def has_news(self) -> bool:
-        """Tell whether the store's content differs from what was told."""
-        return any(
-            each.latest is not None
-            and self._revisions.get(each.name) != _list_revisions(each.latest.reading)
-            for each in self._readings
-        )
-
     def compose(self, now: float) -> tuple[Frame, bool]:
         """Return the next frame, and whether it tells anything new."""
         readings = tuple(
@@ -249,7 +241,7 @@
             return None
         self._begun_at[shared.name] = latest.begun_at
         told = self._revisions.get(shared.name, {})
-        current = _list_revisions(latest.reading)
+        current = latest.reading.list_revisions()
         self._revisions[shared.name] = current
         return ReadingChange(
             name=shared.name,
@@ -261,7 +253,3 @@
             ),
             removed=tuple(told.keys() - current.keys()),
         )
-
-
-def _list_revisions(reading: Reading) -> dict[str, int]:
-    return {each.key: each.revision for each in reading.items}
--- a/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
@@ -11,7 +11,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from blake3 import blake3
 
-from wrenloft_core import PlatformUnavailableError, note, read_clock
+from wrenloft_core import PlatformUnavailableError, Signal, note, read_clock
 from wrenloft_policy import SELF_READ_SECONDS, STALE_FACTOR, measure_read_patience
 from wrenloft_routing._frames import Item, ReadingChange
 from wrenloft_routing._members import Member, Members
@@ -50,6 +50,10 @@
     items: tuple[Item, ...]
     revision: int
 
+    def list_revisions(self) -> dict[str, int]:
+        """Return the revision of each key."""
+        return {each.key: each.revision for each in self.items}
+
     @property
     def digest(self) -> str:
         """What tells this reading from one with other content."""
@@ -94,6 +98,7 @@
     :param take: called with each newer reading.
     :param interval: seconds between two reads of the store.
     :param role: returns this node's part.
+    :param news: fired whenever the store's content has changed.
     """
 
     def __init__(
@@ -106,6 +111,7 @@
         session: ClientSession,
         role: Callable[[], ReaderRole],
         random: Random,
+        news: Signal,
     ) -> None:
         self.name = name
         self._fetch = fetch
@@ -118,6 +124,8 @@
         self._returned_at = float("-inf")
         self._failures = 0
         self._hurried = False
+        self._hurry = Signal()
+        self._news = news
         self.latest: Taken | None = None
 
     @property
@@ -133,6 +141,7 @@
     def hurry(self) -> None:
         """Read at once: something has changed."""
         self._hurried = True
+        self._hurry.fire()
 
     async def follow(self) -> None:
         """Keep the reading young until cancelled."""
@@ -140,7 +149,7 @@
             patience = self._measure_patience()
             if self.age < patience or not await self._wait_turn():
                 left = min(_LOOK_LONGEST, max(_LOOK_SECONDS, patience - self.age))
-                await asyncio.sleep(min(left, self._interval / 4))
+                await self._hurry.wait(min(left, self._interval / 4))
                 continue
             if await self.read():
                 continue
@@ -228,9 +237,12 @@
         if self.latest is not None and taken.begun_at - self.latest.begun_at > GAP_SECONDS:
             self._returned_at = taken.begun_at
             note(_LOG, "reading resumed", name=self.name, gap=round(self.age, 2))
+        before = None if self.latest is None else self.latest.reading
         calm = taken.begun_at - self._returned_at > RETURN_SECONDS
         self.latest = replace(taken, trusted=taken.trusted and calm)
         self._take(self.latest)
+        if before is None or before.list_revisions() != taken.reading.list_revisions():
+            self._news.fire()
 
 
 class ReadingMirror:
--- a/packages/wrenloft-routing/tests/test_beliefs.py
+++ b/packages/wrenloft-routing/tests/test_beliefs.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     RegionName,
     ServiceName,
+    Signal,
     read_clock,
 )
 from wrenloft_policy import EVERY_LAYER
@@ -340,7 +341,7 @@
 ) -> tuple[SharedReading, Members]:
     members = members or Members(_member("a"))
     shared = SharedReading(
-        "x", fetch, taken.append, 0.01, members, session, lambda: role, Random(7)
+        "x", fetch, taken.append, 0.01, members, session, lambda: role, Random(7), Signal()
     )
     return shared, members
 
@@ -419,6 +420,30 @@
         assert patience[0] == 0.01
         assert 0.015 < patience[1] < patience[2]
 
+    async def test_change_is_read_at_once(self) -> None:
+        """A version of weights is named just after a read; its deadline runs from now on.
+
+        Read at the next interval, it would be known to the agents up to 0.8 s late.
+        """
+        revision = 1
+
+        async def fetch() -> Reading:
+            return Reading((Item("k", b"v", revision),), revision)
+
+        taken: list[Taken] = []
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, taken, session)
+            shared._interval = 60.0
+            task = asyncio.create_task(shared.follow())
+            async with asyncio.timeout(10):
+                while not taken:
+                    await asyncio.sleep(0.01)
+                revision = 2
+                shared.hurry()
+                while taken[-1].reading.revision != 2:
+                    await asyncio.sleep(0.01)
+            task.cancel()
+
     async def test_store_that_is_away_gets_few_calls_from_many_nodes(self) -> None:
         """The store is down, and 40 nodes of a zone have no fresh reading for two seconds.
 
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -11,7 +11,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wrenloft_core import AgentId, NodeId, PlaceName, RegionName, ServiceName, read_clock
+from wrenloft_core import (
+    AgentId,
+    NodeId,
+    PlaceName,
+    RegionName,
+    ServiceName,
+    Signal,
+    read_clock,
+)
 from wrenloft_policy import LayerSpan
 from wrenloft_routing import (
     Endpoint,
@@ -150,6 +158,7 @@
             session,
             lambda: ReaderRole.RELAYING,
             Random(1),
+            Signal(),
         )
         yield _Relay(endpoints, members, gathered, shared)
 
@@ -261,7 +270,7 @@
         self.link = ZoneLink(
             self.endpoints, self.members, self.gathered, self.session, REGIONS, lambda: True
         )
-        routes = FrameRoutes(self.gathered, [])
+        routes = FrameRoutes(self.gathered, [], Signal())
         self.link.attach(routes, [])
         loads = LoadRoutes(self.endpoints, self.members, dict, lambda: True, self.link.record_asker)
         app.add_routes(routes.routes())
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_duties.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from wrenloft_policy import FEEDERS, list_feeders, pick_parts
+from wrenloft_policy import FEEDERS, TURN_SECONDS, list_feeders, pick_parts
 from wrenloft_swarm._ports import Neighbour
 
 LEAST_AT_ORIGIN = 3
@@ -31,6 +31,8 @@
         at_origin = [each for each in everyone if each.at_origin]
         if len(at_origin) < LEAST_AT_ORIGIN:
             at_origin = everyone
+        first = sorted(each.address for each in at_origin)
+        self._order = first + [each for each in self.addresses if each not in set(first)]
         self._own = own.address
         self._region = own.region
         self._far_regions = sorted({each.region for each in everyone if not each.at_origin})
@@ -49,10 +51,6 @@
         """Return the part that a chunk belongs to."""
         return chunk * self._parts // self._chunks
 
-    def may_feed(self, chunk: int) -> bool:
-        """Tell whether this agent is among those that fetch a chunk from the origin in turns."""
-        return self._own in self._at_origin[self.part_of(chunk)]
-
     def is_first_region(self, chunk: int) -> bool:
         """Tell whether this region takes a chunk straight from the origin's region."""
         return not self._far_regions or (
@@ -67,11 +65,26 @@
         """Return the agents of this region that may bring a chunk over from another one."""
         return self._near[self.part_of(chunk)]
 
-    def remember_feeders(self, age: float) -> Callable[[int], list[str]]:
+    @property
+    def rank_at_origin(self) -> int:
+        """This agent's place in the order in which agents ask the origin out of turn."""
+        return self._order.index(self._own)
+
+    def remember_feeders(self, late: float) -> Callable[[int], list[str]]:
         """Return what gives the agents that may fetch a chunk from the origin now.
 
-        :param age: seconds since the transfer began.
+        :param late: seconds for which chunks have been late.
         """
-        each = FEEDERS // self._parts
-        feeders = [list_feeders(members, age, each) for members in self._at_origin]
+        each = max(1, FEEDERS // self._parts)
+        feeders = [list_feeders(members, late, each) for members in self._at_origin]
         return lambda chunk: feeders[self.part_of(chunk)]
+
+    def may_help(self, late: float) -> Callable[[int], bool]:
+        """Return what tells whether this agent helps with a chunk that is late.
+
+        Those whose turn it is next do, while the present ones may still bring it.
+
+        :param late: seconds for which chunks have been late.
+        """
+        following = self.remember_feeders(late + TURN_SECONDS)
+        return lambda chunk: late > 0.0 and self._own in following(chunk)
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_transfer.py
@@ -9,7 +9,13 @@
 from prometheus_client import Counter
 
 from wrenloft_core import IntegrityError, PlatformUnavailableError, note, read_clock, warn
-from wrenloft_policy import ChunkSource, Pick, choose_fetch
+from wrenloft_policy import (
+    ChunkSource,
+    Pick,
+    choose_fetch,
+    measure_lateness,
+    measure_origin_patience,
+)
 from wrenloft_swarm._duties import Duties
 from wrenloft_swarm._holdings import Holding
 from wrenloft_swarm._neighbours import (
@@ -47,15 +53,13 @@
 """How long a chunk is waited for in the region that takes it from the origin's first: its way there
 takes 0.2 to 0.4 s."""
 
-HELP_SECONDS = 1.0
-"""After which chunks that nobody has are fetched out of turn. The agent whose turn it is may be
-dead or slow: after a loss of power, 11 of 96 chunks waited 1.5 s for a turn to pass on, and with
-them every chain. Fetched twice is at most what is under way then, four chunks."""
-
 HEAR_SECONDS = 0.25
 """Time for neighbours to say what they hold: a connection across regions takes 8 ms, behind chunks
 of another version up to 0.2 s."""
 
+DRAIN_SECONDS = 1.0
+"""Taken for the time in which the origin's link carries a version if its rate is not known."""
+
 PROGRESS_SECONDS = 1.0
 """Between two log lines on a transfer."""
 
@@ -90,6 +94,7 @@
     :param wanted: the chunks to fetch.
     :param urgency: what they are fetched for.
     :param parts: into how many parts the version is split for its first load.
+    :param drain_seconds: in which the origin's link carries a version.
     :param on_kept: awaited with each chunk that was kept, and its bytes.
     """
 
@@ -105,6 +110,7 @@
         wanted: range | None = None,
         urgency: Urgency = Urgency.FIRST_PART,
         parts: int = 1,
+        drain_seconds: float = DRAIN_SECONDS,
         on_kept: Callable[[int, bytes], Awaitable[None]] | None = None,
     ) -> None:
         self._wanted = range(len(holding.digests)) if wanted is None else wanted
@@ -127,6 +133,9 @@
         self._origin_heard_at = read_clock()
         self._begun_at = self._received_at = read_clock()
         self._noted_at = 0.0
+        self._any_held = 0
+        self._news_at = self._begun_at
+        self._drain_seconds = drain_seconds
         self._seen_at: dict[int, float] = {}
         self._known: list[Neighbour] = []
         self._duties = Duties(own, [], parts, len(holding.digests))
@@ -218,13 +227,14 @@
         ]
         usable = [each for each in self._possessions.known.values() if each.connected]
         duties = self._duties
+        late = self._measure_lateness(now)
         return choose_fetch(
             missing,
             [_describe_source(each, now) for each in usable],
             self._own.address,
             duties.list_carriers,
-            duties.remember_feeders(now - self._begun_at),
-            lambda chunk: now - self._begun_at > HELP_SECONDS and duties.may_feed(chunk),
+            duties.remember_feeders(late),
+            duties.may_help(late),
             lambda chunk: self._may_cross(chunk, duties, now),
             self._measure_waits(missing, now),
             now - self._received_at,
@@ -233,8 +243,15 @@
             self._may_repeat_origin(duties),
             self._random,
             SOURCE_FETCHES,
+            measure_origin_patience(duties.rank_at_origin),
         )
 
+    def _measure_lateness(self, now: float) -> float:
+        held = self._count_any_held()
+        if held > self._any_held:
+            self._any_held, self._news_at = held, now
+        return measure_lateness(now - self._begun_at, now - self._news_at, self._drain_seconds)
+
     def _may_ask_origin(self, now: float) -> bool:
         """Tell whether another fetch from the origin may start.
 
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -35,7 +35,7 @@
     WeightsOrigin,
 )
 from wrenloft_swarm._server import LatestState
-from wrenloft_swarm._transfer import SwarmTransfer
+from wrenloft_swarm._transfer import DRAIN_SECONDS, SwarmTransfer
 
 T = TypeVar("T")
 
@@ -94,6 +94,7 @@
     :param layers: layers of the model.
     :param version_seconds: from naming a version until requests begin on it only.
     :param is_cold: tells whether hardly any engine of the service holds weights.
+    :param origin_rate: bytes a second of the origin's link, 0 if not known.
     """
 
     engine: Engine
@@ -109,6 +110,13 @@
     layers: int = 1
     version_seconds: float = 8.0
     is_cold: Callable[[], bool] = lambda: False
+    origin_rate: float = 0.0
+
+    def measure_drain(self, chunks: int) -> float:
+        """Return the seconds in which the origin's link carries so many chunks."""
+        if not self.origin_rate:
+            return DRAIN_SECONDS
+        return chunks * self.chunk_bytes / self.origin_rate
 
 
 @dataclass(frozen=True, slots=True)
@@ -442,6 +450,7 @@
             wanted=wanted,
             urgency=urgency,
             parts=self._plan.parts,
+            drain_seconds=means.measure_drain(len(holding.digests)),
             on_kept=lambda chunk, data: self._stage_early(holding.name, chunk, data),
         )
         task = asyncio.create_task(transfer.run())
