--- a/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
@@ -133,11 +133,6 @@
         """Seconds since the latest reading was begun."""
         return float("inf") if self.latest is None else read_clock() - self.latest.begun_at
 
-    @property
-    def is_first_reader(self) -> bool:
-        """Whether this node is the one that reads for all."""
-        return self._role() is ReaderRole.RELAYING and self._rank_place() == 0
-
     def hurry(self) -> None:
         """Read at once: something has changed."""
         self._hurried = True
