--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -243,8 +243,8 @@
     Safeguard(
         "routing: a leaving endpoint stays leaving",
         f"{ROUTING}/_endpoints.py",
-        "state = EndpointState(endpoint, leaving=agent_id in self._left)",
-        "state = EndpointState(endpoint)",
+        "leaving = self._left.get(agent_id, -1) >= endpoint.born",
+        "leaving = False",
         f"{ROUTING_TESTS}/test_beliefs.py::TestEndpoints::test_leaving_outlives_a_lapsed_entry",
     ),
     Safeguard(
@@ -431,6 +431,100 @@
         f"{SWARM_TESTS}::TestUpkeep"
         "::test_requests_are_kept_away_while_the_version_after_is_fetched",
     ),
+    Safeguard(
+        "a follower is not told its own requests",
+        f"{ROUTING}/_gathered.py",
+        "sums[agent_id] = sums.get(agent_id, NOTHING) - load",
+        "sums[agent_id] = sums.get(agent_id, NOTHING)",
+        f"{ROUTING_TESTS}/test_zone.py::TestFrameWriter"
+        "::test_follower_is_not_told_its_own_requests",
+    ),
+    Safeguard(
+        "a reading never looks younger than it is",
+        f"{ROUTING}/_readings.py",
+        "change.begun_at - self._clock_lead",
+        "change.begun_at",
+        f"{ROUTING_TESTS}/test_zone.py::TestReadingMirror"
+        "::test_reading_never_looks_younger_than_it_is",
+    ),
+    Safeguard(
+        "a lost relay is passed over",
+        f"{ROUTING}/_members.py",
+        "member.avoided_until = read_clock() + pause",
+        "member.avoided_until = 0.0",
+        f"{ROUTING_TESTS}/test_beliefs.py::TestMembers"
+        "::test_relay_that_was_lost_is_passed_over_for_a_while",
+    ),
+    Safeguard(
+        "a node that knows only itself stays with who asked it",
+        f"{ROUTING}/_zone.py",
+        "        if len(self._members) == 1:\n            return False\n",
+        "",
+        f"{ROUTING_TESTS}/test_zone.py::TestZoneLink"
+        "::test_node_that_starts_while_the_store_is_away_follows_who_asks",
+    ),
+    Safeguard(
+        "other nodes of a zone read the store in turns",
+        f"{ROUTING}/_readings.py",
+        "await asyncio.sleep(self._random.uniform(0.0, 2.0 * SELF_READ_SECONDS * nodes))",
+        "await asyncio.sleep(0.0)",
+        f"{ROUTING_TESTS}/test_beliefs.py::TestSharedReading"
+        "::test_store_that_is_away_gets_few_calls_from_many_nodes",
+    ),
+    Safeguard(
+        "relays take over reading in turn",
+        f"{POLICY}/_relays.py",
+        "return interval * (STALE_FACTOR + TAKE_OVER_STEP * (place_rank - 1))",
+        "return interval",
+        f"{POLICY_TESTS}/test_relays.py::TestReadPatience::test_relays_take_over_in_turn",
+    ),
+    Safeguard(
+        "a look counts what it sent",
+        f"{ROUTING}/_snapshot.py",
+        "waiting=load.waiting + 1",
+        "waiting=load.waiting",
+        f"{ROUTING_TESTS}/test_snapshot.py::TestSnapshot::test_requests_of_one_moment_spread",
+    ),
+    Safeguard(
+        "a look ends when it changes who can be used",
+        f"{ROUTING}/_snapshot.py",
+        "return self.revision == revision and now",
+        "return now",
+        f"{ROUTING_TESTS}/test_snapshot.py::TestSnapshot"
+        "::test_leaving_endpoint_gets_nothing_from_an_older_look",
+    ),
+    Safeguard(
+        "chunks are not late while the origin is drained",
+        f"{POLICY}/_fetching.py",
+        "age - DRAIN_MARGIN * drain_seconds",
+        "age - 1.0",
+        f"{POLICY_TESTS}/test_fetching.py::TestLateness"
+        "::test_chunks_are_not_late_while_the_origin_is_drained",
+    ),
+    Safeguard(
+        "late chunks pass on to other agents",
+        f"{POLICY}/_fetching.py",
+        "skip = int(late / turn) % len(members)",
+        "skip = 0",
+        f"{POLICY_TESTS}/test_fetching.py::TestListFeeders"
+        "::test_late_chunks_are_everybody_s_and_pass_on",
+    ),
+    Safeguard(
+        "agents follow a bounded set of others",
+        f"{SWARM}/_neighbours.py",
+        "chosen += members[: MOST_NEAR if first.near else elsewhere]",
+        "chosen += members",
+        "packages/wrenloft-swarm/tests/test_neighbours.py::TestChooseFollowed"
+        "::test_connections_do_not_grow_with_the_fleet",
+    ),
+    Safeguard(
+        "engines go on one after the other",
+        f"{POLICY}/_versions.py",
+        "turn * max(SWAP_GAP_SECONDS, latest - ready_at)",
+        "0.0",
+        f"{POLICY_TESTS}/test_versions.py::TestPickSwapTime"
+        "::test_engines_go_on_one_after_the_other",
+    ),
 )
 
 
--- a/packages/wrenloft-routing/tests/test_snapshot.py
+++ b/packages/wrenloft-routing/tests/test_snapshot.py
@@ -48,13 +48,13 @@
         Had the look not counted what it sent, they would all have gone to the engine that was
         best, and waited there one behind the other.
         """
-        gate, _ = _gate(6)
+        gate, _ = _gate(3)
         placed = [await gate.place(_ask(), ()) for _ in range(12)]
         counts = Counter(
             each.state.endpoint.agent_id for each in placed if isinstance(each, Placed)
         )
         assert sum(counts.values()) == 12
-        assert max(counts.values()) <= 4
+        assert max(counts.values()) <= 5
 
     async def test_leaving_endpoint_gets_nothing_from_an_older_look(self) -> None:
         """An endpoint says that it leaves right after a look at the endpoints.
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -51,6 +51,7 @@
     encode_frame,
     encode_update,
 )
+from wrenloft_routing._zone import LOOK_SECONDS
 
 SERVICE = ServiceName("s")
 ENGINE = AgentId("e")
@@ -404,4 +405,5 @@
                     ]
                 )
                 await _wait_for(lambda: late.hears == 3)
+                await asyncio.sleep(5 * LOOK_SECONDS)
                 assert late.link.role is ReaderRole.FOLLOWING
