--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -18,6 +18,7 @@
     parse_configuration,
     split_sections,
 )
+from wrenloft_core._counts import COUNTS_SECONDS, log_counts, read_counts
 from wrenloft_core._errors import (
     ConfigurationError,
     ConflictError,
@@ -53,6 +54,7 @@
 from wrenloft_core._signals import Signal
 
 __all__ = [
+    "COUNTS_SECONDS",
     "AgentId",
     "BoundedHandler",
     "ChunkDigest",
@@ -97,6 +99,7 @@
     "digest_bytes",
     "hash_key",
     "join_sections",
+    "log_counts",
     "make_request_id",
     "matches_digest",
     "matches_secret",
@@ -106,6 +109,7 @@
     "parse_configuration",
     "pick_shard",
     "read_clock",
+    "read_counts",
     "read_settings",
     "set_up_logs",
     "split_sections",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
@@ -146,7 +146,7 @@
                 self._members.record_relay(relay, heard=True)
                 note(_LOG, "relay heard", relay=relay.node_id)
             self._take_role(ReaderRole.FOLLOWING, self._followed)
-            self._take_frame(frame, mirror, relay)
+            self._take_frame(frame, mirror)
 
         reading = asyncio.create_task(
             read_frames(self._session, relay.internal, FrameScope.FLEET, own.node_id, take)
@@ -171,7 +171,7 @@
             return False
         return self._members.pick_relay(self._members.own.place) is not relay
 
-    def _take_frame(self, frame: Frame, mirror: ReadingMirror, relay: Member) -> None:
+    def _take_frame(self, frame: Frame, mirror: ReadingMirror) -> None:
         now = read_clock()
         update = LoadUpdate(frame.loads or {}, frame.queues or {}, frame.heard)
         self._followed.record(_RELAY, update, now)
