--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -1,6 +1,7 @@
 """Tests of the agent's program, against stand-ins of its engine, the origin and the store."""
 
 import asyncio
+import base64
 import hashlib
 import json
 import signal
@@ -14,6 +15,9 @@
 import tomli_w
 from aiohttp import ClientError, ClientSession, web
 
+from wrenloft_core import read_clock
+from wrenloft_routing import Frame, Item, ReadingChange, encode_frame
+
 from .conftest import LOOPBACK, StandinStore
 from .test_programs import find_free_port, start_program
 
@@ -210,3 +214,89 @@
                     assert await agent[0].wait() == 0
             with pytest.raises(ClientError):
                 await client.get(f"http://{agent[1]}/reports")
+
+
+class StandinRelay:
+    """An entry node that follows an agent's reports and tells it what the store holds."""
+
+    def __init__(self) -> None:
+        self.items: list[Item] = []
+        self.revision = 50
+        self.followed = asyncio.Event()
+        self.ended = asyncio.Event()
+
+    async def stream(self, request: web.Request) -> web.StreamResponse:
+        """Tell the whole content every fifth of a second until it ends."""
+        assert request.query["scope"] == "readings"
+        self.followed.set()
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while not self.ended.is_set():
+            change = ReadingChange(
+                "operators", read_clock(), True, self.revision, tuple(self.items), ()
+            )
+            await response.write(encode_frame(Frame(read_clock(), readings=(change,))))
+            await asyncio.sleep(0.2)
+        return response
+
+
+class TestFedAgent:
+    """Tests of an agent that an entry node feeds."""
+
+    async def test_goes_by_its_relay_and_by_the_store_when_that_is_gone(
+        self,
+        agent: tuple[asyncio.subprocess.Process, str],
+        engine: StandinEngine,
+        store: StandinStore,
+        stack: AsyncExitStack,
+    ) -> None:
+        """The store is away; a version is named, and only the relay can tell.
+
+        Then the relay dies and the store is back: the agent asks it again, and has the version
+        that is named next. An agent that knows one source only would stay on the older weights.
+        """
+        await _wait_for(engine, 1)
+        relay = StandinRelay()
+        configuration = base64.b64decode(store.items["op/config"]["value"])
+        relay.items = [Item("op/config", configuration, 11)]
+        address = await _serve(stack, [web.get("/frames", relay.stream)])
+        client = await stack.enter_async_context(ClientSession())
+        reports = await client.get(f"http://{agent[1]}/reports", params={"relay": address})
+        async with asyncio.timeout(10):
+            await relay.followed.wait()
+        store.refuse = True
+        named = json.dumps({"model": MODEL, "version": 2}).encode()
+        relay.items.append(Item(f"op/version/{MODEL}", named, 51))
+        relay.revision = 51
+        await _wait_for(engine, 2)
+        relay.ended.set()
+        reports.close()
+        store.refuse = False
+        store.put(f"op/version/{MODEL}", {"model": MODEL, "version": 3})
+        await _wait_for(engine, 3)
+
+    async def test_asks_the_store_for_nothing_while_it_is_fed(
+        self,
+        agent: tuple[asyncio.subprocess.Process, str],
+        engine: StandinEngine,
+        store: StandinStore,
+        stack: AsyncExitStack,
+    ) -> None:
+        """A hundred agents that list endpoints and watch versions cost the store 50 calls a second.
+
+        Fed by a relay none of them calls.
+        """
+        await _wait_for(engine, 1)
+        relay = StandinRelay()
+        address = await _serve(stack, [web.get("/frames", relay.stream)])
+        client = await stack.enter_async_context(ClientSession())
+        await client.get(f"http://{agent[1]}/reports", params={"relay": address})
+        async with asyncio.timeout(10):
+            await relay.followed.wait()
+        # By itself an agent lists the endpoints every two seconds.
+        async with asyncio.timeout(30):
+            before = -1
+            while before != len(store.calls):
+                before = len(store.calls)
+                await asyncio.sleep(3.0)
+        relay.ended.set()
