--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -300,3 +300,28 @@
                 before = len(store.calls)
                 await asyncio.sleep(3.0)
         relay.ended.set()
+
+    async def test_stops_by_itself_while_it_is_fed(
+        self,
+        agent: tuple[asyncio.subprocess.Process, str],
+        engine: StandinEngine,
+        stack: AsyncExitStack,
+    ) -> None:
+        """A host is taken away: its agent is told to stop while a relay follows and feeds it.
+
+        An agent that waits for its relay to go would be killed at the end of its grace time.
+        """
+        await _wait_for(engine, 1)
+        relay = StandinRelay()
+        address = await _serve(stack, [web.get("/frames", relay.stream)])
+        client = await stack.enter_async_context(ClientSession())
+        reports = await client.get(f"http://{agent[1]}/reports", params={"relay": address})
+        held = await client.get(f"http://{agent[1]}/held/{MODEL}/2")
+        async with asyncio.timeout(10):
+            await relay.followed.wait()
+        agent[0].send_signal(signal.SIGTERM)
+        async with asyncio.timeout(6):
+            assert await agent[0].wait() == 0
+        relay.ended.set()
+        reports.close()
+        held.close()
