--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -1,6 +1,7 @@
 """Tests of sending to endpoints that spoil, lose, cross or refuse answers."""
 
 import asyncio
+import gc
 from dataclasses import replace
 from typing import Any
 
@@ -197,6 +198,28 @@
         with pytest.raises(ReplyBrokenError):
             await reply.read_whole()
 
+    async def test_reset_is_told_once(
+        self,
+        session: ClientSession,
+        endpoint: StandinEndpoint,
+        caplog: pytest.LogCaptureFixture,
+    ) -> None:
+        """An endpoint resets a connection while its answer is read.
+
+        Whoever reads it learns of that. Told once more by the event loop, as an error that nobody
+        fetched, each reset put a stack into the log, where it hid what mattered.
+        """
+        endpoint.answers = [stream_answer(b"id: 1\n\n", end=False)]
+        reply = await _open(session, endpoint)
+        with pytest.raises(ReplyBrokenError):
+            while await reply.read_some():
+                pass
+        await reply.close(reusable=False)
+        del reply
+        gc.collect()
+        await asyncio.sleep(0.05)
+        assert "never retrieved" not in caplog.text
+
     async def test_unframed_answer_ends_with_a_clean_close_only(
         self, session: ClientSession, endpoint: StandinEndpoint
     ) -> None:
