Don't send a failure behind a begun stream

Ruled out: torn chunks (they end early and look it), garbled heads of endpoints.

Change: an answer that does not go on with a begun stream is dropped; the caller's connection is cut. The new test failed before.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -366,7 +366,12 @@
                 course.may_have_run = True
                 await self._drain(reply)
                 return None
-            if reply.is_stream and reply.status < 300:
+            goes_on = reply.is_stream and reply.status < 300
+            if course.pump.begun and not goes_on:
+                # A failure sent behind events of another engine would be bytes of no answer.
+                reason = f"status {reply.status} behind a begun stream"
+                return self._drop_reply(course, state, reason)
+            if goes_on:
                 return await self._relay_stream(course, state, reply, sink)
             return await self._relay_whole(course, state, reply, sink, started)
         finally:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -416,6 +416,21 @@
         assert isinstance(outcome, Unknown)
         assert bench.sink.aborted and not bench.sink.ended
 
+    async def test_failure_of_the_second_engine_is_not_sent_behind_a_begun_stream(self) -> None:
+        """A stream breaks off, goes on at another engine, and that one answers 500.
+
+        No further try is allowed. Its caller has a head and an event: the 500 behind them would be
+        bytes that are no answer. The connection ends, and cannot be taken for complete.
+        """
+        bench = Bench(
+            FakeReply([_events(0), ReplyBrokenError("cut")], is_stream=True),
+            FakeReply([b"failed"], status=500),
+        )
+        outcome = await bench.ask("stream")
+        assert isinstance(outcome, Unknown)
+        assert bench.sink.aborted and not bench.sink.ended
+        assert bench.sink.status == 200
+
     def test_begun_answer_is_never_given_up_as_not_run(self) -> None:
         """Whatever way leads there, a caller with part of an answer is not told that nothing ran.
 
