Put back the test of a node that is lost and heard again

The loss is logged once, the node's requests stop counting, and it is heard again at the same address.

--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -25,6 +25,8 @@
     Endpoint,
     Endpoints,
     EngineReport,
+    FollowedNode,
+    Followers,
     Frame,
     FrameRoutes,
     FrameScope,
@@ -36,6 +38,7 @@
     LoadUpdate,
     Member,
     Members,
+    NodeFollower,
     NodeState,
     NodeUpdate,
     QueueLength,
@@ -51,6 +54,7 @@
     encode_frame,
     encode_update,
 )
+from wrenloft_routing._load_streams import RECONNECT_SECONDS
 from wrenloft_routing._zone import LOOK_SECONDS
 
 SERVICE = ServiceName("s")
@@ -407,3 +411,62 @@
                 await _wait_for(lambda: late.hears == 3)
                 await asyncio.sleep(5 * LOOK_SECONDS)
                 assert late.link.role is ReaderRole.FOLLOWING
+
+
+class TestNodeFollower:
+    """Tests for ``NodeFollower``."""
+
+    async def test_loss_of_a_node_is_logged_once_and_it_is_heard_again(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """A node dies while its relay follows it, and is back at the same address.
+
+        Whoever looks for why engines were misjudged then finds when its requests did not count: a
+        line when it is lost, however often it is tried meanwhile, and one when it is heard again.
+        """
+        caplog.set_level("INFO")
+        told = Endpoints(PlaceName("p"), REGION)
+        own = Member(NodeId("n2"), PlaceName("p"), REGION, "n2:80", "")
+        routes = LoadRoutes(
+            told,
+            Members(own),
+            lambda: {SERVICE: QueueLength(fresh=3)},
+            lambda: True,
+            lambda _: None,
+        )
+        async with _relay() as relay, AsyncExitStack() as stack:
+            session = await stack.enter_async_context(ClientSession())
+            first = await _listen(routes, 0)
+            port = first.addresses[0][1]
+            node = FollowedNode(NodeId("n2"), f"127.0.0.1:{port}")
+            relay.members.update(
+                [Member(node.node_id, PlaceName("p"), REGION, "n2:80", node.address)]
+            )
+            followers = Followers(NodeFollower(relay.gathered, relay.members, session).follow)
+            stack.push_async_callback(followers.close)
+            followers.update([node])
+            await _wait_for(lambda: relay.gathered.heard.queue_of(SERVICE).fresh == 3)
+            await first.cleanup()
+            await _wait_for(lambda: _count(caplog, "node lost") == 1)
+            await asyncio.sleep(3 * RECONNECT_SECONDS)
+            assert relay.gathered.heard.queue_of(SERVICE).fresh == 0
+            second = await _listen(routes, port)
+            stack.push_async_callback(second.cleanup)
+            await _wait_for(lambda: relay.gathered.heard.queue_of(SERVICE).fresh == 3)
+        assert _count(caplog, "node lost") == 1
+        judged = [each.fields["state"] for each in caplog.records if hasattr(each, "fields")
+                  and each.message == "entry node judged"]  # fmt: skip
+        assert judged == ["ready", "lost", "ready"]
+
+
+async def _listen(routes: LoadRoutes, port: int) -> web.AppRunner:
+    app = web.Application()
+    app.add_routes(routes.routes())
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    return runner
+
+
+def _count(caplog: pytest.LogCaptureFixture, message: str) -> int:
+    return sum(record.message == message for record in caplog.records)
