--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -39,7 +39,6 @@
 from wrenloft_routing._frames import (
     Frame,
     FrameScope,
-    Item,
     ReadingChange,
     decode_crashes,
     decode_frame,
@@ -59,6 +58,7 @@
 from wrenloft_routing._loads import InProgress, LoadUpdate, PeerLoads, QueueLength
 from wrenloft_routing._members import Member, Members, NodeState
 from wrenloft_routing._metrics import MESSAGES
+from wrenloft_routing._packing import Item
 from wrenloft_routing._proof import CurrencyProof
 from wrenloft_routing._readings import (
     ReaderRole,
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -4,7 +4,6 @@
 so the difference, bounded once for each connection, translates every later time.
 """
 
-import base64
 import json
 from dataclasses import dataclass
 from enum import Enum
@@ -16,6 +15,7 @@
 from wrenloft_routing._endpoints import EngineReport
 from wrenloft_routing._loads import InProgress, QueueLength
 from wrenloft_routing._members import NodeState
+from wrenloft_routing._packing import Item, pack_items, unpack_items
 
 
 class FrameScope(Enum):
@@ -30,15 +30,6 @@
     READINGS = "readings"
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
-    """One key as it was last written; ``value`` is ``None`` for a deletion."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
 @dataclass(frozen=True, slots=True)
 class ReadingChange:
     """How a reading differs from the last one told.
@@ -208,29 +199,23 @@
 
 
 def _encode_reading(change: ReadingChange) -> list[Any]:
-    rows = [
-        [each.key, base64.b64encode(each.value or b"").decode(), each.revision]
-        for each in change.changed
-    ]
     return [
         change.name,
         change.begun_at,
         change.trusted,
         change.revision,
-        rows,
+        pack_items(change.changed),
         list(change.removed),
     ]
 
 
 def _decode_reading(row: list[Any]) -> ReadingChange:
-    name, begun_at, trusted, revision, rows, removed = row
+    name, begun_at, trusted, revision, packed, removed = row
     return ReadingChange(
         name=str(name),
         begun_at=float(begun_at),
         trusted=bool(trusted),
         revision=int(revision),
-        changed=tuple(
-            Item(str(key), base64.b64decode(value), int(number)) for key, value, number in rows
-        ),
+        changed=unpack_items(packed),
         removed=tuple(str(each) for each in removed),
     )
--- a/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_readings.py
@@ -1,7 +1,6 @@
 """Readings of the platform's store, shared by all entry nodes."""
 
 import asyncio
-import base64
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
@@ -13,8 +12,9 @@
 
 from wrenloft_core import PlatformUnavailableError, Signal, note, read_clock
 from wrenloft_policy import SELF_READ_SECONDS, STALE_FACTOR, measure_read_patience
-from wrenloft_routing._frames import Item, ReadingChange
+from wrenloft_routing._frames import ReadingChange
 from wrenloft_routing._members import Member, Members
+from wrenloft_routing._packing import Item, pack_items, unpack_items
 
 _LOG = logging.getLogger(__name__)
 
@@ -282,10 +282,7 @@
             "revision": taken.reading.revision,
         }
         if request.query.get("known") != taken.reading.digest:
-            fields["items"] = [
-                [each.key, base64.b64encode(each.value or b"").decode(), each.revision]
-                for each in taken.reading.items
-            ]
+            fields["items"] = pack_items(taken.reading.items)
         return web.json_response(fields)
 
 
@@ -298,9 +295,4 @@
         if known is None:
             raise ValueError("no items, and none known")
         return Reading(known.reading.items, revision)
-    if not isinstance(items, list):
-        raise ValueError("items are no list")
-    return Reading(
-        tuple(Item(key, base64.b64decode(value), number) for key, value, number in items),
-        revision,
-    )
+    return Reading(unpack_items(items), revision)
