--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -127,16 +127,17 @@
         return web.json_response({**item, "storeRevision": self.revision})
 
     async def _list(self, request: web.Request) -> web.Response:
-        after = request.query.get("after", "")
-        prefix = request.query["prefix"]
+        page = self.build_page(request.query["prefix"], request.query.get("after", ""))
+        return web.json_response(page)
+
+    def build_page(self, prefix: str, after: str) -> dict[str, Any]:
+        """Return one page of a list."""
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        return web.json_response(
-            {
-                "items": [self.items[key] for key in keys[: self.page]],
-                "truncated": len(keys) > self.page,
-                "storeRevision": self.revision,
-            }
-        )
+        return {
+            "items": [self.items[key] for key in keys[: self.page]],
+            "truncated": len(keys) > self.page,
+            "storeRevision": self.revision,
+        }
 
     async def _watch(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
