Tell at once what is held, and send one chunk at a time, urgent ones first

Each hop waited 0.3 s to be told (80 messages a second shared by 25 followers), and 0.17 s for a chunk sent beside another. Costs elsewhere: a burst of 240 messages an agent and version; the mean is bounded as before.

--- a/packages/wrenloft-core/src/wrenloft_core/_pacing.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_pacing.py
@@ -10,10 +10,12 @@
     chunks wait for them and not the other way round.
 
     :param rate: bytes a second.
+    :param burst: bytes that may pass at once after a calm time.
     """
 
-    def __init__(self, rate: float) -> None:
+    def __init__(self, rate: float, burst: float = 0.0) -> None:
         self._rate = rate
+        self._burst_seconds = burst / rate
         self._free_at = 0.0
 
     def note_live(self, size: int) -> None:
@@ -24,5 +26,5 @@
     async def carry(self, size: int) -> None:
         """Wait until ``size`` bytes of a chunk have passed."""
         now = asyncio.get_running_loop().time()
-        self._free_at = max(now, self._free_at) + size / self._rate
-        await asyncio.sleep(self._free_at - now)
+        self._free_at = max(now - self._burst_seconds, self._free_at) + size / self._rate
+        await asyncio.sleep(max(0.0, self._free_at - now))
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -13,6 +13,7 @@
 from wrenloft_policy import LayerSpan
 from wrenloft_swarm._holdings import Holding, Holdings, VersionName
 from wrenloft_swarm._ports import EngineState, Urgency
+from wrenloft_swarm._upload_turns import UploadTurns
 
 _LOG = logging.getLogger(__name__)
 
@@ -23,22 +24,23 @@
 REPORT_IDLE_SECONDS = 0.4
 """Longest time between two, so that silence for a second shows a dead connection."""
 
-POSSESSION_SECONDS = 0.1
-"""Least time between two messages of what is held; about two chunks arrive meanwhile."""
+POSSESSION_SECONDS = 0.03
+"""Least time between two messages of what is held to one neighbour: a round trip to any region."""
 
 POSSESSIONS_PER_SECOND = 80.0
-"""Such messages a second to all neighbours together; with more than 8 each hears less often, so
-that an agent's part does not grow with the fleet. At 30 each lags by 7 of 96 chunks."""
+"""Such messages a second to all neighbours together, so that an agent's part does not grow with
+the fleet."""
 
-UPLOADS = 2
-"""Chunks sent at once. A chunk takes 54 ms of the link: with two at once it is whole at the next
-agent, and can be passed on, after about 0.1 s, with five after 0.3 s (computed from the link)."""
+POSSESSION_BURST = 240.0
+"""Such messages that may go out at once after a calm time: the first ten chunks to 24 neighbours. A
+new version spreads by doubling; while each hop waited 0.3 s for its turn to tell of a chunk, the
+uplinks of most agents rested for the first two seconds."""
 
-UPLOADS_WAITING = 4
-"""Chunks asked for that wait for their turn, so that the link does not rest between two. A further
-one is refused, and asked of another neighbour."""
+UPLOADS = 6
+"""Chunks asked for at once, of which one is sent and the others wait for their turn, so that the
+link does not rest between two. A further one is refused, and asked of another neighbour."""
 
-REST_WAITING = 2
+REST_UPLOADS = 4
 """The same for agents that are not served first; they take what the others leave."""
 
 UPLOAD_SHARE = 0.82
@@ -114,14 +116,14 @@
         on_relay: Callable[[str], None],
     ) -> None:
         self._on_relay = on_relay
-        self._possession_followers = 0
+        self._possessions = Pacer(POSSESSIONS_PER_SECOND, POSSESSION_BURST)
         self._pacer = pacer
         self._on_version = on_version
         self._holdings = holdings
         self._latest = latest
         self._is_stopping = is_stopping
         self._uploads = 0
-        self._slots = asyncio.Semaphore(UPLOADS)
+        self._turns = UploadTurns()
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes."""
@@ -158,11 +160,7 @@
         self._on_version(name.model, name.number)
         response = web.StreamResponse()
         await response.prepare(request)
-        self._possession_followers += 1
-        try:
-            await self._write_possessions(response, name)
-        finally:
-            self._possession_followers -= 1
+        await self._write_possessions(response, name)
         return response
 
     async def _write_possessions(self, response: web.StreamResponse, name: VersionName) -> None:
@@ -171,11 +169,11 @@
             holding = self._holdings.get(name)
             mask = holding.mask if holding is not None else 0
             if mask != told:
-                told = mask
-                await response.write(f"{mask:x}\n".encode())
+                await self._possessions.carry(1)
+                told = mask if holding is None else holding.mask
+                await response.write(f"{told:x}\n".encode())
                 MESSAGES.labels("possession").inc()
-            share = self._possession_followers / POSSESSIONS_PER_SECOND
-            await asyncio.sleep(max(POSSESSION_SECONDS, share))
+            await asyncio.sleep(POSSESSION_SECONDS)
             if holding is not None and holding.mask == told:
                 await _wait(holding.changed, REPORT_IDLE_SECONDS)
 
@@ -189,11 +187,11 @@
         if data is None:
             raise web.HTTPNotFound
         rest = request.query.get("urgency") == Urgency.REST.value
-        if self._uploads >= UPLOADS + (REST_WAITING if rest else UPLOADS_WAITING):
+        if self._uploads >= (REST_UPLOADS if rest else UPLOADS):
             raise web.HTTPTooManyRequests
         self._uploads += 1
         try:
-            async with self._slots:
+            async with self._turns.take(urgent=not rest):
                 return await self._send_paced(request, data)
         finally:
             self._uploads -= 1
