Go on with the chunks that lie staged when an agent starts in the middle of a version

Cause: chunks are staged beside the engine on their arrival, but an agent that starts takes only those of the version that its engine serves; of the one that was on its way it fetched all again, like every other agent. Change: before its first fetch an agent takes what lies staged and fits the version's digests. Ruled out: taking it for each later fetch (nothing lies there that the process did not stage itself). Why it holds: each chunk is compared with its digest, so another version's is left out (test).

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_upkeep.py
@@ -161,6 +161,7 @@
         self._named = asyncio.Event()
         self._staging = asyncio.Lock()
         self._ready_at: dict[int, float] = {}
+        self._is_first_fetch = True
         self._plan = LoadPlan(LayerSpan(0, means.layers), 1, 0, 0.0)
 
     @property
@@ -330,17 +331,19 @@
             if number < self._newest.number - 1:
                 return True  # the origin has no digests of it any more, and nobody wants it
             name = VersionName(self._model, number)
-            staged = await means.engine.list_staged(name)
-            if not staged:
-                return True
-            holding = await self._open(name)
-            await _run_limited([self._adopt(holding, chunk) for chunk in sorted(staged)])
-            note(_LOG, "staged chunks taken", version=number, held=holding.held)
+            if await means.engine.list_staged(name):
+                await self._adopt_staged(await self._open(name))
             return True
         except PlatformUnavailableError as error:
             note(_LOG, "staged chunks not taken", reason=str(error))
             return False
 
+    async def _adopt_staged(self, holding: Holding) -> None:
+        """Take the chunks of a version that lie staged; those of another one don't fit."""
+        staged = await self._means.engine.list_staged(holding.name)
+        await _run_limited([self._adopt(holding, chunk) for chunk in sorted(staged)])
+        note(_LOG, "staged chunks taken", version=holding.name.number, held=holding.held)
+
     async def _adopt(self, holding: Holding, chunk: int) -> None:
         data = await self._means.engine.read_staged(holding.name, chunk)
         if data is not None and chunk < len(holding.digests) and holding.is_own(chunk, data):
@@ -399,6 +402,11 @@
     async def _fetch_version(self, name: VersionName) -> None:
         """Fetch a version, in parts if the whole would come too late."""
         holding = await self._open(name)
+        if self._is_first_fetch:
+            # Chunks are staged on their arrival and outlive this process. Where all agents were
+            # killed in the middle of a version, nobody has to fetch any of them again.
+            self._is_first_fetch = False
+            await self._adopt_staged(holding)
         self._plan = plan = self._make_plan(split=self._should_split(holding))
         if plan.parts > 1:
             wanted = self._list_chunks(plan.first, holding)
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -634,3 +634,20 @@
         rig.upkeep.name_version(2)
         await rig.wait_for(2)
         assert engine.loaded == [(2, True)]
+
+    async def test_killed_agent_goes_on_where_it_was(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """All agents are killed while a version is on its way; most of it lies staged.
+
+        Fetched from the beginning, it came eight seconds later, and the version before it was
+        refused by then: callers found no engine. What is another version's does not fit.
+        """
+        staged = dict(enumerate(_chunks(2)))
+        staged[3] = _chunks(1)[3]
+        engine = FakeEngine(staged=staged, version=1)
+        rig = Rig(stack, session, engine)
+        rig.upkeep.name_version(2)
+        await rig.wait_for(2)
+        assert engine.loaded == [(2, True)]
+        assert [each for each in rig.origin.sent if each[0] == 2] == [(2, 3)]
