Split what a request has been through, and its log lines, from the forwarder

Course and build_ask stand in _course.py, metrics and the two log lines in _request_log.py. Nothing else changed; the log lines' logger is now wrenloft_routing._request_log.

--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_course.py
@@ -0,0 +1,58 @@
+"""What has happened to one caller's request so far."""
+
+from dataclasses import dataclass, field
+
+from wrenloft_core import AgentId, ContentId, OrganisationName, read_clock
+from wrenloft_policy import Prediction
+from wrenloft_routing._exchange import CallerRequest
+from wrenloft_routing._gate import Ask
+from wrenloft_routing._loads import NOTHING, InProgress
+from wrenloft_routing._streams import Pump
+from wrenloft_routing._table import BackendService, Rule
+
+
+@dataclass(slots=True)
+class Course:
+    """What has happened to one request so far."""
+
+    request: CallerRequest
+    rule: Rule
+    service: BackendService
+    organisation: OrganisationName | None
+    rank: int
+    deadline: float
+    content: ContentId
+    tried: set[AgentId] = field(default_factory=set)
+    attempts: int = 0
+    not_sent: int = 0
+    may_have_run: bool = False
+    on_trial: bool = False
+    sent_at: float = 0.0
+    spent: float = 0.0
+    prediction: Prediction = Prediction(0.0, 0.0)
+    begin_by: float = float("inf")
+    peer: str = ""
+    pump: Pump = field(default_factory=Pump)
+    share: InProgress = NOTHING
+
+    @property
+    def left(self) -> float:
+        """Seconds for which the caller still waits."""
+        return self.deadline - read_clock()
+
+
+def build_ask(course: Course, since: float) -> Ask:
+    """Return what the request asks of the gate.
+
+    :param since: when it began to wait.
+    """
+    return Ask(
+        service=course.service,
+        rank=course.rank,
+        prompt_tokens=course.request.prompt_tokens,
+        since=since,
+        spent=course.spent,
+        aim=course.rule.aim,
+        deadline=course.deadline,
+        begun=course.pump.begun,
+    )
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -3,25 +3,20 @@
 import asyncio
 import logging
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from random import Random
 
-from prometheus_client import Counter, Histogram
-
 from wrenloft_core import (
-    AgentId,
-    ContentId,
     Done,
     NotRun,
-    OrganisationName,
     Outcome,
     Unknown,
     note,
     read_clock,
 )
-from wrenloft_policy import Prediction, estimate_spent, pick_return, rank_urgency
+from wrenloft_policy import estimate_spent, pick_return, rank_urgency
 from wrenloft_routing._budget import SharedBudget
 from wrenloft_routing._content import identify_content
+from wrenloft_routing._course import Course, build_ask
 from wrenloft_routing._crash_guard import CrashGuard
 from wrenloft_routing._crash_ledger import Hold
 from wrenloft_routing._endpoints import Endpoints, EndpointState
@@ -38,11 +33,12 @@
     ReplyBrokenError,
 )
 from wrenloft_routing._falls import FallWatch
-from wrenloft_routing._gate import Ask, Gate, Placed, Refused
+from wrenloft_routing._gate import Gate, Placed, Refused
 from wrenloft_routing._loads import NOTHING, InProgress
 from wrenloft_routing._proof import CurrencyProof
-from wrenloft_routing._streams import Pump, StreamEnd, pump_stream
-from wrenloft_routing._table import BackendService, RoutingTable, Rule, RuleKind, pick_target
+from wrenloft_routing._request_log import ATTEMPTS, FIRST_SECONDS, conclude, log_attempt
+from wrenloft_routing._streams import StreamEnd, pump_stream
+from wrenloft_routing._table import RoutingTable, RuleKind, pick_target
 
 _LOG = logging.getLogger(__name__)
 
@@ -72,49 +68,6 @@
 _CONNECT_RETRY_SECONDS = 0.03
 """When a caller should come back whose request was rejected by an endpoint that others replace."""
 
-REQUESTS = Counter("wrenloft_routing_requests", "Requests by outcome", ["kind", "outcome"])
-SECONDS = Histogram(
-    "wrenloft_routing_request_seconds",
-    "Seconds from arrival to the final answer",
-    ["kind"],
-    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4),
-)
-FIRST_SECONDS = Histogram(
-    "wrenloft_routing_first_event_seconds",
-    "Seconds from arrival to a stream's first event",
-    buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.6, 3.2),
-)
-ATTEMPTS = Counter("wrenloft_routing_attempts", "Sendings to endpoints by result", ["result"])
-
-
-@dataclass(slots=True)
-class _Course:
-    """What has happened to one request so far."""
-
-    request: CallerRequest
-    rule: Rule
-    service: BackendService
-    organisation: OrganisationName | None
-    rank: int
-    deadline: float
-    content: ContentId
-    tried: set[AgentId] = field(default_factory=set)
-    attempts: int = 0
-    not_sent: int = 0
-    may_have_run: bool = False
-    on_trial: bool = False
-    sent_at: float = 0.0
-    spent: float = 0.0
-    prediction: Prediction = Prediction(0.0, 0.0)
-    begin_by: float = float("inf")
-    peer: str = ""
-    pump: Pump = field(default_factory=Pump)
-    share: InProgress = NOTHING
-
-    @property
-    def left(self) -> float:
-        return self.deadline - read_clock()
-
 
 class Forwarder:
     """Takes callers' requests and sees each to its final answer.
@@ -149,17 +102,17 @@
         course = self._admit(request)
         if isinstance(course, NotRun):
             await self._refuse(course, sink)
-            self._conclude(request, "none", course, None)
+            conclude(request, "none", course, None)
             return course
         outcome = await self._run(course, sink)
         if isinstance(outcome, NotRun):
             await self._refuse(outcome, sink)
         elif isinstance(outcome, Unknown):
             await self._fail(course, outcome, sink)
-        self._conclude(request, course.rule.kind.value, outcome, course)
+        conclude(request, course.rule.kind.value, outcome, course)
         return outcome
 
-    def _admit(self, request: CallerRequest) -> _Course | NotRun:
+    def _admit(self, request: CallerRequest) -> Course | NotRun:
         """Check that the configuration allows the request."""
         table = self.table
         if table is None:
@@ -184,7 +137,7 @@
         patience = rule.timeout if request.patience is None else request.patience
         deadline = request.arrived + min(patience, rule.timeout)
         content = identify_content(organisation, request.target, request.body_digest)
-        course = _Course(request, rule, service, organisation, rank, deadline, content)
+        course = Course(request, rule, service, organisation, rank, deadline, content)
         course.spent = self._estimate_spent(rule.name, patience)
         return course
 
@@ -197,7 +150,7 @@
         self._longest[rule] = longest
         return estimate_spent(patience, longest)
 
-    async def _run(self, course: _Course, sink: AnswerSink) -> Outcome:
+    async def _run(self, course: Course, sink: AnswerSink) -> Outcome:
         """Send attempts until one gives the answer or no further one is allowed."""
         self._budget.earn(course.service.name, read_clock())
         while True:
@@ -212,7 +165,7 @@
             if outcome is not None:
                 return outcome
 
-    async def _find_hold(self, course: _Course) -> Hold | None:
+    async def _find_hold(self, course: Course) -> Hold | None:
         """Return why a request must not be sent, ``None`` if it may be.
 
         A request that crashes each engine that begins it comes again under a new id, at any node.
@@ -227,7 +180,7 @@
         course.on_trial = course.on_trial or await self._guard.claim_trial(hold)
         return None if course.on_trial else hold
 
-    def _hold_back(self, course: _Course, hold: Hold) -> Outcome:
+    def _hold_back(self, course: Course, hold: Hold) -> Outcome:
         """End a request whose content is held back; it is told when a trial is due."""
         self._guard.count_held_back(hold)
         retry_after = self._guard.measure_return(hold)
@@ -247,16 +200,16 @@
             return Unknown("hold", reason, course.peer)
         return NotRun("hold", reason, retry_after=retry_after)
 
-    async def _place(self, course: _Course) -> Placed | Refused:
+    async def _place(self, course: Course) -> Placed | Refused:
         if course.left < _LAST_LEFT:
             return Refused("no time left", 0)
         # An endpoint that failed used up the aim; the next gets one of its own, since an answer
         # that comes late is better than a refusal while endpoints have room.
         untried = course.attempts == 0 and course.not_sent == 0
         since = course.request.arrived if untried else read_clock()
-        return await self._gate.place(_build_ask(course, since), course.tried)
+        return await self._gate.place(build_ask(course, since), course.tried)
 
-    async def _attempt(self, course: _Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
+    async def _attempt(self, course: Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
         """Send once; ``None`` means that another attempt may follow."""
         state = placed.state
         state.note_sent(read_clock())
@@ -270,7 +223,8 @@
         course.prediction = placed.prediction
         begin_limit = self._gate.measure_begin_limit(state, course.service)
         course.begin_by = read_clock() + begin_limit - BEGIN_MARGIN_SECONDS
-        self._log_attempt(course, placed)
+        revision = self.table.revision if self.table else 0
+        log_attempt(course, placed, revision, self._proof.age)
         try:
             with self._falls.run(placed.states, course.content) as started:
                 course.sent_at = started
@@ -317,7 +271,7 @@
 
     def _note_losses(
         self,
-        course: _Course,
+        course: Course,
         placed: Placed,
         result: NotSent | Rejected | Lost,
         at_fault: Sequence[EndpointState],
@@ -333,12 +287,12 @@
                 if each is not placed.state:
                     self._falls.note_loss(each, course.content, course.sent_at, silent=True)
 
-    def _look_at(self, course: _Course, placed: Placed, *, silent: bool) -> None:
+    def _look_at(self, course: Course, placed: Placed, *, silent: bool) -> None:
         for state in placed.states:
             self._falls.note_loss(state, course.content, course.sent_at, silent=silent)
 
     async def _open_within(
-        self, course: _Course, placed: Placed
+        self, course: Course, placed: Placed
     ) -> Reply | NotSent | Rejected | Lost:
         left = course.left
         attempt = Attempt(
@@ -361,7 +315,7 @@
                 return Lost("not begun before the version is due", at_fault=False)
             return Lost("no answer in time", silent=True)
 
-    def _silence_limit(self, course: _Course, left: float) -> float:
+    def _silence_limit(self, course: Course, left: float) -> float:
         """Return how long an endpoint may stay silent before it is given up."""
         if not course.pump.begun:
             # A request that waits at a slow endpoint would begin on a version past its deadline;
@@ -371,12 +325,12 @@
             return left
         return min(left, max(course.rule.aim * _SILENCE_AIMS, left * _SILENCE_SHARE))
 
-    def _may_repeat(self, course: _Course, attempts: int) -> bool:
+    def _may_repeat(self, course: Course, attempts: int) -> bool:
         allowed = course.rule.idempotent and not course.on_trial
         return allowed and attempts < course.rule.max_attempts
 
     def _after_not_sent(
-        self, course: _Course, state: EndpointState, result: NotSent
+        self, course: Course, state: EndpointState, result: NotSent
     ) -> Outcome | None:
         self._endpoints.record_failure(state, read_clock())
         self._falls.note_unreachable(state)
@@ -387,7 +341,7 @@
 
     def _after_rejected(
         self,
-        course: _Course,
+        course: Course,
         state: EndpointState,
         result: Rejected,
         at_fault: Sequence[EndpointState],
@@ -404,7 +358,7 @@
             return None
         return self._give_up(course, "endpoint", result.reason)
 
-    def _after_lost(self, course: _Course, step: str, reason: str) -> Outcome | None:
+    def _after_lost(self, course: Course, step: str, reason: str) -> Outcome | None:
         course.may_have_run = True
         if self._may_repeat(course, course.attempts) and course.left > _LAST_LEFT:
             if self._budget.spend(course.service.name, read_clock()):
@@ -412,7 +366,7 @@
             reason = f"{reason}; no second try left in the budget"
         return Unknown(step, reason, course.peer)
 
-    def _give_up(self, course: _Course, step: str, reason: str, candidates: int = 1) -> Outcome:
+    def _give_up(self, course: Course, step: str, reason: str, candidates: int = 1) -> Outcome:
         """End a request that nobody runs; say "not run" only if that is certain."""
         if course.may_have_run or course.pump.begun:
             return Unknown(step, reason, course.peer)
@@ -424,7 +378,7 @@
 
     async def _take_reply(
         self,
-        course: _Course,
+        course: Course,
         placed: Placed,
         reply: Reply,
         sink: AnswerSink,
@@ -475,7 +429,7 @@
             return
 
     def _drop_reply(
-        self, course: _Course, placed: Placed, reason: str, *, silent: bool = False
+        self, course: Course, placed: Placed, reason: str, *, silent: bool = False
     ) -> Outcome | None:
         ATTEMPTS.labels("broken").inc()
         note(
@@ -491,7 +445,7 @@
 
     async def _relay_whole(
         self,
-        course: _Course,
+        course: Course,
         placed: Placed,
         reply: Reply,
         sink: AnswerSink,
@@ -517,7 +471,7 @@
         return Done(course.peer)
 
     async def _relay_stream(
-        self, course: _Course, placed: Placed, reply: Reply, sink: AnswerSink
+        self, course: Course, placed: Placed, reply: Reply, sink: AnswerSink
     ) -> Outcome | None:
         state = placed.state
         first = not course.pump.begun
@@ -555,7 +509,7 @@
         stalled = end is StreamEnd.STALLED
         return self._drop_reply(course, placed, f"stream {end.value}", silent=stalled)
 
-    def _note_first_event(self, course: _Course) -> None:
+    def _note_first_event(self, course: Course) -> None:
         """Learn from first attempts only; others were late before they were sent."""
         if not course.spent and course.attempts == 1:
             seconds = course.pump.begun_at - course.request.arrived
@@ -569,77 +523,10 @@
         body = f"{outcome.step}: {outcome.reason}\n".encode()
         await sink.send_whole(outcome.status, headers, body)
 
-    async def _fail(self, course: _Course, outcome: Unknown, sink: AnswerSink) -> None:
+    async def _fail(self, course: Course, outcome: Unknown, sink: AnswerSink) -> None:
         if course.pump.begun:
             sink.abort()
             return
         status = 504 if course.left <= 0 else 502
         body = f"{outcome.step}: {outcome.reason}\n".encode()
         await sink.send_whole(status, (("Content-Type", "text/plain"),), body)
-
-    def _log_attempt(self, course: _Course, placed: Placed) -> None:
-        state = placed.state
-        now = read_clock()
-        note(
-            _LOG,
-            "attempt",
-            request=course.request.request_id,
-            content=course.content,
-            rule=course.rule.name,
-            endpoint=course.peer,
-            attempt=course.attempts + 1,
-            predicted_ms=round(placed.prediction.total * 1000),
-            candidates=placed.candidates,
-            report_age_ms=round(min(now - state.reported_at, 99.0) * 1000),
-            revision=self.table.revision if self.table else 0,
-            proof_age_ms=round(min(self._proof.age, 99.0) * 1000),
-            left_ms=round(course.left * 1000),
-            version=placed.version,
-            chain=[each.state.endpoint.agent_id for each in placed.chain],
-            resumed_after=course.pump.last,
-        )
-
-    def _conclude(
-        self, request: CallerRequest, kind: str, outcome: Outcome, course: _Course | None
-    ) -> None:
-        seconds = read_clock() - request.arrived
-        name = type(outcome).__name__
-        REQUESTS.labels(kind, name).inc()
-        SECONDS.labels(kind).observe(seconds)
-        note(
-            _LOG,
-            "request ended",
-            request=request.request_id,
-            content=course.content if course else "",
-            outcome=name,
-            step=getattr(outcome, "step", ""),
-            reason=getattr(outcome, "reason", ""),
-            endpoint=getattr(outcome, "peer", ""),
-            status=getattr(outcome, "status", None),
-            retry_after=getattr(outcome, "retry_after", None),
-            attempts=course.attempts if course else 0,
-            spent_ms=round(course.spent * 1000) if course else 0,
-            predicted_ms=round(course.prediction.total * 1000) if course else 0,
-            first_ms=_measure_first(course),
-            ms=round(seconds * 1000),
-        )
-
-
-def _build_ask(course: _Course, since: float) -> Ask:
-    return Ask(
-        service=course.service,
-        rank=course.rank,
-        prompt_tokens=course.request.prompt_tokens,
-        since=since,
-        spent=course.spent,
-        aim=course.rule.aim,
-        deadline=course.deadline,
-        begun=course.pump.begun,
-    )
-
-
-def _measure_first(course: _Course | None) -> int | None:
-    """Return the milliseconds from arrival to a stream's first event, if it had one."""
-    if course is None or not course.pump.begun:
-        return None
-    return round((course.pump.begun_at - course.request.arrived) * 1000)
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -0,0 +1,89 @@
+"""What is counted and logged of each request."""
+
+import logging
+
+from prometheus_client import Counter, Histogram
+
+from wrenloft_core import Outcome, note, read_clock
+from wrenloft_routing._course import Course
+from wrenloft_routing._exchange import CallerRequest
+from wrenloft_routing._gate import Placed
+
+_LOG = logging.getLogger(__name__)
+
+REQUESTS = Counter("wrenloft_routing_requests", "Requests by outcome", ["kind", "outcome"])
+SECONDS = Histogram(
+    "wrenloft_routing_request_seconds",
+    "Seconds from arrival to the final answer",
+    ["kind"],
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4),
+)
+FIRST_SECONDS = Histogram(
+    "wrenloft_routing_first_event_seconds",
+    "Seconds from arrival to a stream's first event",
+    buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.6, 3.2),
+)
+ATTEMPTS = Counter("wrenloft_routing_attempts", "Sendings to endpoints by result", ["result"])
+
+
+def log_attempt(course: Course, placed: Placed, revision: int, proof_age: float) -> None:
+    """Log that a request is sent, and what that was decided from.
+
+    :param revision: of the configuration in force.
+    :param proof_age: seconds since that was shown to be the newest.
+    """
+    state = placed.state
+    now = read_clock()
+    note(
+        _LOG,
+        "attempt",
+        request=course.request.request_id,
+        content=course.content,
+        rule=course.rule.name,
+        endpoint=course.peer,
+        attempt=course.attempts + 1,
+        predicted_ms=round(placed.prediction.total * 1000),
+        candidates=placed.candidates,
+        report_age_ms=round(min(now - state.reported_at, 99.0) * 1000),
+        revision=revision,
+        proof_age_ms=round(min(proof_age, 99.0) * 1000),
+        left_ms=round(course.left * 1000),
+        version=placed.version,
+        chain=[each.state.endpoint.agent_id for each in placed.chain],
+        resumed_after=course.pump.last,
+    )
+
+
+def conclude(request: CallerRequest, kind: str, outcome: Outcome, course: Course | None) -> None:
+    """Count and log how a request ended.
+
+    :param course: ``None`` if it was not admitted.
+    """
+    seconds = read_clock() - request.arrived
+    name = type(outcome).__name__
+    REQUESTS.labels(kind, name).inc()
+    SECONDS.labels(kind).observe(seconds)
+    note(
+        _LOG,
+        "request ended",
+        request=request.request_id,
+        content=course.content if course else "",
+        outcome=name,
+        step=getattr(outcome, "step", ""),
+        reason=getattr(outcome, "reason", ""),
+        endpoint=getattr(outcome, "peer", ""),
+        status=getattr(outcome, "status", None),
+        retry_after=getattr(outcome, "retry_after", None),
+        attempts=course.attempts if course else 0,
+        spent_ms=round(course.spent * 1000) if course else 0,
+        predicted_ms=round(course.prediction.total * 1000) if course else 0,
+        first_ms=_measure_first(course),
+        ms=round(seconds * 1000),
+    )
+
+
+def _measure_first(course: Course | None) -> int | None:
+    """Return the milliseconds from arrival to a stream's first event, if it had one."""
+    if course is None or not course.pump.begun:
+        return None
+    return round((course.pump.begun_at - course.request.arrived) * 1000)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -55,7 +55,7 @@
     Target,
     identify_content,
 )
-from wrenloft_routing._forward import _Course
+from wrenloft_routing._course import Course
 
 PLACE = PlaceName("p")
 REGION = RegionName("r")
@@ -485,7 +485,7 @@
         bench = Bench()
         rule = TABLE.rules[4]
         service = TABLE.services[ENGINES]
-        course = _Course(cast(CallerRequest, None), rule, service, None, 1, 0.0, ContentId(""))
+        course = Course(cast(CallerRequest, None), rule, service, None, 1, 0.0, ContentId(""))
         course.pump.begun = True
         assert isinstance(bench.forwarder._give_up(course, "place", "no room"), Unknown)
 
