--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -623,7 +623,7 @@
         "min(first_at, ready_at)",
         "ready_at",
         f"{POLICY_TESTS}/test_versions.py::TestPickSwapTime"
-        "::test_engines_ready_at_different_times_keep_one_order",
+        "::test_engine_whose_turn_has_passed_goes_on_at_once",
     ),
     Safeguard(
         "engines go on one after the other",
--- a/packages/wrenloft-policy/tests/test_versions.py
+++ b/packages/wrenloft-policy/tests/test_versions.py
@@ -77,6 +77,15 @@
         assert max(early) - min(early) > (latest - first_at) / 3
         assert max(early) < min(late) <= max(late) <= latest
 
+    def test_engine_whose_turn_has_passed_goes_on_at_once(self) -> None:
+        """An engine of the first half gets its last chunk late, after its place in the order.
+
+        Waiting for a quarter of what is left, counted from then, it met the second half: more
+        engines were without work at the same moment, and callers' answers came late.
+        """
+        assert pick_swap_time(0.25, 103.6, 100.0, 8.0, 102.0) == 103.6
+        assert pick_swap_time(0.45, 102.1, 100.0, 8.0, 102.0) > 103.4
+
     def test_nobody_waits_past_the_deadline(self) -> None:
         """A version that came late is loaded at once by all."""
         assert pick_swap_time(1.0, 106.0, 100.0, 8.0) == 106.0
