Known red: the clock is not the cause; a test that shows the fault each time

Suspected: a time counted from boot. Cause: an agent of the older design knows the entry nodes that it was told of and no others. Where all are replaced before one of them has told it of the new ones, it never finds these.

--- a/tests/test_control_under_failure.py
+++ b/tests/test_control_under_failure.py
@@ -81,6 +81,21 @@
             replies = [await site.send(ask_model(MODEL, "x"), each) for each in replacements]
             assert {each.headers["X-Wrenloft-Revision"] for each in replies} == {str(revision)}
 
+    async def test_survives_a_restart_of_which_no_agent_has_heard(self, tmp_path: Path) -> None:
+        """Every entry node freezes, is replaced with new addresses, and then killed.
+
+        The agents were told only of nodes that are dead by then. They must find the new ones all
+        the same; otherwise no engine is ever ordered again, and callers find no replica.
+        """
+        async with open_site(tmp_path) as site:
+            old = list(site.nodes)
+            for each in old:
+                each.send(signal.SIGSTOP)
+            for number, place in enumerate(site.deployment.places):
+                await site.deployment.start_node(f"new-{number}", place)
+            await asyncio.gather(*(each.kill() for each in old))
+            await site.wait_replicas()
+
     async def test_a_new_node_learns_it_from_a_peer_during_an_outage(self, tmp_path: Path) -> None:
         """The service is out when a node is replaced: it takes its peers' highest revision.
 
