Show which rate limit an endpoint names, and what this node sent it

Whether a node knew of a limit when it sent could not be seen, so the hypotheses could not be told apart. Nothing is decided by it yet.

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -66,6 +66,7 @@
 from wrenloft_policy._ownership import Lease, choose_owner, rank_owners
 from wrenloft_policy._placement import Host, Placed, choose_hosts, matches
 from wrenloft_policy._queue import FairQueue, Ticket, estimate_wait
+from wrenloft_policy._rate_limits import ANSWERS_TO_END, NamedLimit, RateLimit, update_limit
 from wrenloft_policy._relays import (
     LEAST_FRAME_SECONDS,
     SELF_READ_SECONDS,
@@ -102,6 +103,7 @@
 
 __all__ = [
     "AIM_SHARE_MOST",
+    "ANSWERS_TO_END",
     "CRASHES_TO_HOLD",
     "EVERY_LAYER",
     "EVIDENCE_SECONDS",
@@ -136,10 +138,12 @@
     "LayerHolder",
     "LayerSpan",
     "Lease",
+    "NamedLimit",
     "Permit",
     "Pick",
     "Placed",
     "Prediction",
+    "RateLimit",
     "RelayCandidate",
     "RetryBudget",
     "Share",
@@ -205,4 +209,5 @@
     "rank_urgency",
     "share_room",
     "split_layers",
+    "update_limit",
 ]
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -47,6 +47,7 @@
 )
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
 from wrenloft_routing._gathered import FrameWriter, Gathered
+from wrenloft_routing._limit_ledger import LimitLedger
 from wrenloft_routing._liveness import Liveness, probe_address
 from wrenloft_routing._load_streams import (
     LoadRoutes,
@@ -128,6 +129,7 @@
     "HoldKeeper",
     "InProgress",
     "Item",
+    "LimitLedger",
     "Liveness",
     "LoadRoutes",
     "LoadUpdate",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_course.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_course.py
@@ -27,6 +27,7 @@
     not_sent: int = 0
     may_have_run: bool = False
     on_trial: bool = False
+    limit_known: bool = False
     sent_at: float = 0.0
     spent: float = 0.0
     prediction: Prediction = Prediction(0.0, 0.0)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -6,8 +6,23 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from wrenloft_core import AgentId, IncarnationId, PlaceName, RegionName, ServiceName, note
-from wrenloft_policy import EVERY_LAYER, REPORT_LAG_SECONDS, EndpointLoad, LayerSpan
+from wrenloft_core import (
+    AgentId,
+    IncarnationId,
+    NodeId,
+    PlaceName,
+    RegionName,
+    ServiceName,
+    note,
+)
+from wrenloft_policy import (
+    EVERY_LAYER,
+    REPORT_LAG_SECONDS,
+    EndpointLoad,
+    LayerSpan,
+    NamedLimit,
+)
+from wrenloft_routing._limit_ledger import LimitLedger
 from wrenloft_routing._loads import NOTHING, InProgress, PeerLoads
 
 _LOG = logging.getLogger(__name__)
@@ -171,9 +186,13 @@
     """All endpoints by id.
 
     :param place: this node's availability zone.
+    :param limits: rate limits that endpoints name.
     """
 
-    def __init__(self, place: PlaceName, region: RegionName) -> None:
+    def __init__(
+        self, place: PlaceName, region: RegionName, limits: LimitLedger | None = None
+    ) -> None:
+        self.limits = limits or LimitLedger(NodeId(""))
         self._place = place
         self._region = region
         self._states: dict[AgentId, EndpointState] = {}
@@ -301,6 +320,20 @@
             state.header_load = load
             state.header_at = now
 
+    def find_limit(self, state: EndpointState) -> float | None:
+        """Return the requests a second that an endpoint takes, ``None`` if it has no limit."""
+        return self.limits.find_rate(state.endpoint.incarnation)
+
+    def record_limit(
+        self, state: EndpointState, named: NamedLimit | None, *, limit_known: bool
+    ) -> None:
+        """Take the rate limit that an answer names, or that it names none.
+
+        :param limit_known: whether a limit was known when the request was sent.
+        """
+        endpoint = state.endpoint
+        self.limits.observe(endpoint.agent_id, endpoint.incarnation, named, limit_known=limit_known)
+
     def record_success(self, state: EndpointState) -> None:
         """Forget failures."""
         state.failures = 0
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from wrenloft_core import OrganisationName, RequestId
+from wrenloft_policy import NamedLimit
 from wrenloft_routing._chains import ChainStage
 from wrenloft_routing._endpoints import Endpoint
 
@@ -74,12 +75,14 @@
 
     :param mistaken: whether it is not the endpoint, or not the version, that was meant.
     :param address: of the engine of a chain at which it failed, ``None`` for the first.
+    :param named_limit: the rate limit that the endpoint named, ``None`` if it named none.
     """
 
     reason: str
     mistaken: bool
     load: tuple[int, int, int] | None = None
     address: str | None = None
+    named_limit: NamedLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +111,7 @@
     status: int
     headers: Headers
     load: tuple[int, int, int] | None
+    named_limit: NamedLimit | None
     genuine: bool
     is_stream: bool
     leaving: bool
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -224,7 +224,9 @@
         begin_limit = self._gate.measure_begin_limit(state, course.service)
         course.begin_by = read_clock() + begin_limit - BEGIN_MARGIN_SECONDS
         revision = self.table.revision if self.table else 0
-        log_attempt(course, placed, revision, self._proof.age)
+        rate_limit = self._endpoints.find_limit(state)
+        course.limit_known = rate_limit is not None
+        log_attempt(course, placed, revision, self._proof.age, rate_limit)
         try:
             with self._falls.run(placed.states, course.content) as started:
                 course.sent_at = started
@@ -349,6 +351,8 @@
         """A rejected request has not run, so it may go elsewhere if the budget allows."""
         now = read_clock()
         self._endpoints.record_header(state, result.load, now)
+        if result.named_limit is not None and not result.mistaken:
+            self._endpoints.record_limit(state, result.named_limit, limit_known=True)
         for each in at_fault:
             self._endpoints.record_full(each, now)
             if result.mistaken:
@@ -389,6 +393,8 @@
         course.attempts += 1
         now = read_clock()
         self._endpoints.record_header(state, reply.load, now)
+        if reply.named_limit is not None or (reply.genuine and reply.status < 500):
+            self._endpoints.record_limit(state, reply.named_limit, limit_known=course.limit_known)
         try:
             if not reply.genuine:
                 return self._drop_reply(course, placed, "answer is not this request's")
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -11,6 +11,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+RATE_WINDOW_SECONDS = 4.0
+"""For which a log line tells how many requests this node has sent to the endpoint."""
+
 REQUESTS = Counter("wrenloft_routing_requests", "Requests by outcome", ["kind", "outcome"])
 SECONDS = Histogram(
     "wrenloft_routing_request_seconds",
@@ -26,11 +29,14 @@
 ATTEMPTS = Counter("wrenloft_routing_attempts", "Sendings to endpoints by result", ["result"])
 
 
-def log_attempt(course: Course, placed: Placed, revision: int, proof_age: float) -> None:
+def log_attempt(
+    course: Course, placed: Placed, revision: int, proof_age: float, rate_limit: float | None
+) -> None:
     """Log that a request is sent, and what that was decided from.
 
     :param revision: of the configuration in force.
     :param proof_age: seconds since that was shown to be the newest.
+    :param rate_limit: of the endpoint, in requests a second, as this node knows it.
     """
     state = placed.state
     now = read_clock()
@@ -49,6 +55,8 @@
         proof_age_ms=round(min(proof_age, 99.0) * 1000),
         left_ms=round(course.left * 1000),
         version=placed.version,
+        rate_limit=rate_limit,
+        sent_before=state.count_sent(now - RATE_WINDOW_SECONDS) - 1,
         chain=[each.state.endpoint.agent_id for each in placed.chain],
         resumed_after=course.pump.last,
     )
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -25,7 +25,7 @@
     Unknown,
     read_clock,
 )
-from wrenloft_policy import Crash, EngineProfile, LayerSpan, WantedVersion
+from wrenloft_policy import Crash, EngineProfile, LayerSpan, NamedLimit, WantedVersion
 from wrenloft_routing import (
     Attempt,
     BackendService,
@@ -73,6 +73,7 @@
     status: int = 200
     headers: Headers = (("X-Stamp", "s"),)
     load: tuple[int, int, int] | None = None
+    named_limit: NamedLimit | None = None
     genuine: bool = True
     is_stream: bool = False
     leaving: bool = False
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -9,7 +9,7 @@
 from aiohttp import ClientSession
 
 from wrenloft_core import AgentId, OrganisationName, PlaceName, RegionName, RequestId, ServiceName
-from wrenloft_platform._runner import RunnerReply, RunnerTransport
+from wrenloft_platform._runner import RunnerReply, RunnerTransport, read_named_limit
 from wrenloft_policy import LayerSpan
 from wrenloft_routing import (
     Attempt,
@@ -247,3 +247,29 @@
         assert await reply.read_some() == b"id: 1\n\n"
         with pytest.raises(ReplyBrokenError):
             await reply.read_some()
+
+
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        (["1.8"], 1.8),
+        ([" 0.2 "], 0.2),
+        (["0"], 0.0),
+        (["1e9"], 1e9),
+        (["5", "1.4"], 1.4),
+        (["5, x, 2"], 2.0),
+        ([""], None),
+        (["-1"], None),
+        (["nan"], None),
+        (["inf"], None),
+        (["soon"], None),
+    ],
+)
+def test_reads_named_limits_and_what_is_none(values: list[str], rate: float | None) -> None:
+    named = read_named_limit(values)
+    assert named is not None
+    assert named.rate == rate
+
+
+def test_answer_without_the_header_names_no_limit() -> None:
+    assert read_named_limit([]) is None
