--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -238,7 +238,7 @@
         self.received.append(received)
         if await self._may_crash(received, writer):
             return False
-        answer = self.answers.pop(0) if self.answers else whole_answer(b"ok")
+        answer = self.pick_answer()
         if answer is None:
             return False
         reset = answer.endswith(b"RESET")
@@ -262,11 +262,48 @@
             return False
         return b"content-length" in data.lower() or b"chunked" in data.lower()
 
+    def pick_answer(self) -> bytes | None:
+        """Return what the next request is answered with."""
+        return self.answers.pop(0) if self.answers else whole_answer(b"ok")
+
     async def _may_crash(self, received: Received, writer: asyncio.StreamWriter) -> bool:
         """Crash if the request is one that does so; return whether it was."""
         return False
 
 
+@dataclass
+class LimitingEndpoint(StandinEndpoint):
+    """An endpoint that names a rate limit, and counts what it gets.
+
+    :param limit: as written in the header; ``None`` names none.
+    :param begun_at: when each request came, on the loop's clock.
+    """
+
+    limit: str | None = None
+    begun_at: list[float] = field(default_factory=list)
+
+    def pick_answer(self) -> bytes | None:
+        self.begun_at.append(asyncio.get_running_loop().time())
+        named = self.name_limit()
+        extra = b"" if named is None else f"Server-Limit: {named}\r\n".encode()
+        return whole_answer(b"ok", extra=extra)
+
+    def name_limit(self) -> str | None:
+        """Return the limit that the next answer names."""
+        return self.limit
+
+    def count_between(self, start: float, end: float) -> int:
+        """Return how many requests came in a span of time."""
+        return sum(start < at <= end for at in self.begun_at)
+
+    def count_most(self, seconds: float, after: float) -> int:
+        """Return the most requests that came in any such span, of those after a time."""
+        counted = [at for at in self.begun_at if at > after]
+        return max(
+            (sum(0 <= at - first < seconds for at in counted) for first in counted), default=0
+        )
+
+
 class CrashSign(Enum):
     """What the other side sees of a crash.
 
--- a/tests/platform/test_crashing_content.py
+++ b/tests/platform/test_crashing_content.py
@@ -124,30 +124,42 @@
         for each in endpoints:
             await each.start()
             stack.push_async_callback(each.stop)
-        entries: list[Entry] = []
-        paths: list[Path] = []
-        for number in range(ENTRY_COUNT):
-            path = tmp_path / f"{number}.toml"
-            place = "z1" if number < 2 else "z2"
-            regions = {"z1": "r1", "z2": "r2"}
-            settings = write_settings(
-                path,
-                store.address,
-                name=f"entry-{number}",
-                place=place,
-                region=regions[place],
-                regions=regions,
-            )
-            process = await start_program("entry.py", path)
-            entries.append(Entry(process, settings, client))
-            stack.push_async_callback(_end, entries[-1])
-            paths.append(path)
-        for each in entries:
-            await each.wait_ready()
-        await _wait_connected(store, entries)
+        entries, paths = await start_entries(stack, store, client, tmp_path)
         yield Fleet(entries, paths, endpoints, client, store)
 
 
+async def start_entries(
+    stack: AsyncExitStack,
+    store: StandinStore,
+    client: ClientSession,
+    tmp_path: Path,
+    entry_count: int = ENTRY_COUNT,
+) -> tuple[list[Entry], list[Path]]:
+    """Run entry nodes of two zones, the last of them in the second."""
+    entries: list[Entry] = []
+    paths: list[Path] = []
+    for number in range(entry_count):
+        path = tmp_path / f"{number}.toml"
+        place = "z1" if number < entry_count - 1 else "z2"
+        regions = {"z1": "r1", "z2": "r2"}
+        settings = write_settings(
+            path,
+            store.address,
+            name=f"entry-{number}",
+            place=place,
+            region=regions[place],
+            regions=regions,
+        )
+        process = await start_program("entry.py", path)
+        entries.append(Entry(process, settings, client))
+        stack.push_async_callback(_end, entries[-1])
+        paths.append(path)
+    for each in entries:
+        await each.wait_ready()
+    await _wait_connected(store, entries)
+    return entries, paths
+
+
 async def _wait_connected(store: StandinStore, entries: list[Entry]) -> None:
     """Wait until all nodes are listed and one has had time to hear of the others."""
     async with asyncio.timeout(10):
