Ask one node for each request to an endpoint that names a rate limit

What was seen: an endpoint that named a limit of 1.8 requests a second got 21 in 4 s from the entry nodes that it had told; 16 are allowed.

Cause: nothing in the fleet added up what an endpoint gets. Evidence: on the untouched logic each node's lines show that it knew the limit and sent on, first tries only, one node alone above the limit; that rules out that each node kept to the limit for itself, and a path of its own for second tries.

Change: limits are told with the loads over the streams that flow anyway, each change with a number above all known before. One node, the limiter, grants each request out of a token bucket: of the endpoint's own zone while any is heard, picked by hash. Whoever is denied passes the endpoint over until it may ask again; if only limits stand against a request, it waits for a turn that it can still use or is refused at once, with a return spread over what the endpoints need. A limit ends after three answers without it, of requests sent under it.

Weighed: fixed shares (idle where callers are not, none at 98 nodes and 1.4 a second), shares by demand (late, same rounding), counts over frames (98 nodes each see nothing sent in the same tenth of a second).

Why it holds: the sum of what one limiter grants in 4 s is 4.25 limits + 2; the rule allows 6 limits + 5. What is left covers a second limiter for the time in which nodes disagree on who is alive; parts of a fleet that don't hear one another use 1.75 limits together at the worst.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -72,6 +72,8 @@
 that was refused does not return as one. An answer to it is late in any case, and by what is left of
 its patience after the least of these it is told from fresh callers."""
 
+LEAST_RETURN_SECONDS = 0.05
+"""Soonest return of a refused caller."""
 
 OUTAGE_RETURN_SHARE = 0.8
 """Least part of the time that callers wait at most, for those refused while no endpoint can take
@@ -93,6 +95,7 @@
     :param pace: how many times slower it is than its profile.
     :param suspect: whether requests sent from here failed there lately.
     :param connected: whether an idle connection to it is kept open.
+    :param room_limit: requests that it takes now at most, ``None`` if only its load decides.
     """
 
     key: str
@@ -107,6 +110,7 @@
     unseen: float = 0.0
     unread_tokens: float | None = None
     connected: bool = True
+    room_limit: int | None = None
 
 
 REPORT_LAG_SECONDS = 0.25
@@ -253,7 +257,8 @@
         return 0
     present = load.running + load.waiting + load.sent_since
     each = engine.usual_read if present < load.slots else engine.stream_seconds() / engine.slots
-    return 1 + int(spare / each)
+    room = 1 + int(spare / each)
+    return room if load.room_limit is None else min(room, load.room_limit)
 
 
 def share_room(room: int, fresh: int, late: int, *, late_ask: bool) -> float:
@@ -381,6 +386,6 @@
     """
     longest = left / 3
     if not candidates:
-        return max(0.05, random.uniform(OUTAGE_RETURN_SHARE, 1.0) * longest)
+        return max(LEAST_RETURN_SECONDS, random.uniform(OUTAGE_RETURN_SHARE, 1.0) * longest)
     low, high = RETURN_SPREAD
-    return max(0.05, min(random.uniform(low, high) * left, longest))
+    return max(LEAST_RETURN_SECONDS, min(random.uniform(low, high) * left, longest))
--- a/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
@@ -1,6 +1,17 @@
-"""Rate limits that endpoints name: what answers say of them."""
+"""Rate limits that endpoints name: what holds, and how the entry nodes share one."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
+from random import Random
+
+from blake3 import blake3
+
+from wrenloft_policy._endpoints import (
+    LATE_HOLD_SHARE,
+    LEAST_RETURN_SECONDS,
+    OUTAGE_RETURN_SHARE,
+    Verdict,
+)
 
 ANSWERS_TO_END = 3
 """Answers in a row without a limit after which it has ended. Some answers of an endpoint in need
@@ -50,3 +61,141 @@
         return known
     missing = known.missing + 1
     return RateLimit(known.rate if missing < ANSWERS_TO_END else None, missing, sequence, node)
+
+
+def join_limit(known: RateLimit | None, told: RateLimit) -> RateLimit:
+    """Return which of two beliefs holds, in whichever order they come."""
+    if known is None or (told.sequence, told.node) > (known.sequence, known.node):
+        return told
+    return known
+
+
+LEAST_RATE = 0.2
+"""Requests a second that an endpoint gets at least, if it names less: its answers are the only
+sign that a limit has ended."""
+
+BURST_LEAST = 2.0
+BURST_SECONDS = 0.25
+"""Tokens that a bucket holds at most, and seconds of its rate besides. Fewer, and what is due would
+be lost while the next node's question is on its way."""
+
+OUTSIDE_SHARE = 0.25
+"""Part of a limit that nodes of other zones use while they hear nobody of the endpoint's own zone,
+whose nodes may be alive behind a partition and use all of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bucket:
+    """A token bucket.
+
+    :param at: when it held so many tokens.
+    """
+
+    tokens: float
+    at: float
+
+
+def refill_bucket(bucket: Bucket, rate: float, now: float) -> Bucket:
+    """Return a bucket with what has come in since.
+
+    :param rate: tokens a second.
+    """
+    most = BURST_LEAST + BURST_SECONDS * rate
+    earned = max(0.0, now - bucket.at) * rate
+    return Bucket(min(most, bucket.tokens + earned), now)
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Entry nodes of which some are heard.
+
+    :param heard: that are known to be alive, this one included.
+    :param listed: that are registered.
+    """
+
+    heard: int
+    listed: int
+
+    @property
+    def share(self) -> float:
+        """The part of a limit that these may use.
+
+        More than half are one group at most and use all of it; any smaller groups use less than
+        half of it together.
+        """
+        return 1.0 if 2 * self.heard > self.listed else self.heard / max(1, self.listed)
+
+
+def allot_rate(rate: float, zone: Group, fleet: Group) -> float:
+    """Return the part of a limit that one limiter grants.
+
+    Answers partitions: parts of the fleet that do not hear one another have a limiter each.
+
+    :param rate: the endpoint's limit, in requests a second.
+    :param zone: the entry nodes of the endpoint's availability zone.
+    """
+    rate = max(LEAST_RATE, rate)
+    if zone.heard:
+        return rate * zone.share
+    return rate * fleet.share * (OUTSIDE_SHARE if zone.listed else 1.0)
+
+
+def pick_limiter(endpoint: str, zone: Collection[str], fleet: Collection[str]) -> str:
+    """Return the node that grants requests to an endpoint, the same for all that hear the same.
+
+    :param endpoint: names the incarnation.
+    :param zone: live entry nodes of the endpoint's availability zone.
+    :param fleet: all live entry nodes.
+    """
+
+    def weigh(node: str) -> bytes:
+        return blake3(f"{endpoint}/{node}".encode()).digest(8)
+
+    return max(zone or fleet, key=weigh)
+
+
+ASK_AGAIN_LONGEST = 1.0
+"""Longest pause before a node asks again: a limit may rise or end meanwhile."""
+
+
+def pick_ask_again(due: float, random: Random) -> float:
+    """Return the seconds after which a node asks again that was denied.
+
+    Spread, so that the nodes that wait do not ask all at once.
+
+    :param due: seconds until the bucket has a token for it.
+    """
+    return min(ASK_AGAIN_LONGEST, due) * random.uniform(1.0, 1.3)
+
+
+def pick_limited_return(
+    wait: float, rate: float, waiting: float, left: float, random: Random
+) -> float:
+    """Return the seconds after which a caller comes back whom limited endpoints cannot take.
+
+    Spread over the time that the endpoints need for all who wait, and within the third of its time
+    for which a caller waits at most.
+
+    :param wait: seconds until it would have its turn.
+    :param rate: requests a second that the endpoints take together.
+    :param waiting: callers that wait or were refused lately.
+    :param left: seconds that this caller has left.
+    """
+    turn = wait + random.uniform(0.0, max(1.0, waiting) / rate)
+    longest = random.uniform(OUTAGE_RETURN_SHARE, 1.0) * left / 3
+    return max(LEAST_RETURN_SECONDS, min(turn, longest))
+
+
+def decide_limited_turn(
+    wait: float, least: float, elapsed: float, aim: float, left: float
+) -> Verdict:
+    """Decide whether a request waits for its turn at limited endpoints or is refused at once.
+
+    :param wait: seconds until its turn.
+    :param least: seconds to the first byte at an idle endpoint.
+    :param elapsed: seconds since the caller's first attempt.
+    :param aim: seconds within which the answer has its full worth.
+    :param left: seconds until nobody waits for the answer.
+    """
+    in_time = elapsed + wait + least <= aim
+    return Verdict.HOLD if in_time or wait + least <= left * LATE_HOLD_SHARE else Verdict.REFUSE
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -47,7 +47,9 @@
 )
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
 from wrenloft_routing._gathered import FrameWriter, Gathered
-from wrenloft_routing._limit_ledger import LimitLedger
+from wrenloft_routing._grants import GrantRoutes, Grants
+from wrenloft_routing._limit_ledger import LimitInForce, LimitLedger, LimitNews
+from wrenloft_routing._limiter import Grant, GrantRequest, Limiter
 from wrenloft_routing._liveness import Liveness, probe_address
 from wrenloft_routing._load_streams import (
     LoadRoutes,
@@ -124,12 +126,19 @@
     "FrameWriter",
     "Gate",
     "Gathered",
+    "Grant",
+    "GrantRequest",
+    "GrantRoutes",
+    "Grants",
     "Headers",
     "Hold",
     "HoldKeeper",
     "InProgress",
     "Item",
+    "LimitInForce",
     "LimitLedger",
+    "LimitNews",
+    "Limiter",
     "Liveness",
     "LoadRoutes",
     "LoadUpdate",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -4,8 +4,11 @@
 import logging
 from collections import deque
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 
+from prometheus_client import Gauge
+
 from wrenloft_core import (
     AgentId,
     IncarnationId,
@@ -39,6 +42,12 @@
 REPORT_STALE_SECONDS = 0.7
 """Age after which an agent's report is no longer used: seven reports were missed."""
 
+RATE_LIMIT = Gauge(
+    "wrenloft_endpoint_rate_limit",
+    "Requests a second that an endpoint takes from all entry nodes together",
+    ["endpoint"],
+)
+
 SENT_KEPT = 64
 """Times of sent requests kept for each endpoint: four times an engine's slots, sent in a second."""
 
@@ -113,6 +122,8 @@
     :param agent_heard_at: when its agent, which had nothing new to say, was still heard.
     :param later_parts: requests in progress of this node that go through it after another engine.
     :param kept_at: since when each idle connection to it is kept.
+    :param ask_after: until when no grant is asked for here: its rate limit is used up.
+    :param turn_at: when a request that waits for a grant would have its turn.
     """
 
     endpoint: Endpoint
@@ -129,6 +140,8 @@
     sent_at: deque[float] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
     later_parts: int = 0
     kept_at: deque[float] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
+    ask_after: float = 0.0
+    turn_at: float = 0.0
 
     def note_kept(self, now: float) -> None:
         """Take that a connection to it was left open and idle."""
@@ -193,6 +206,7 @@
         self, place: PlaceName, region: RegionName, limits: LimitLedger | None = None
     ) -> None:
         self.limits = limits or LimitLedger(NodeId(""))
+        self.limits.on_change = self._take_limit
         self._place = place
         self._region = region
         self._states: dict[AgentId, EndpointState] = {}
@@ -228,6 +242,7 @@
         for agent_id, state in list(self._states.items()):
             if agent_id not in seen and trusted:
                 del self._states[agent_id]
+                _show_limit(agent_id, None)
                 note(_LOG, "endpoint gone", endpoint=agent_id, service=state.endpoint.service)
         self._index()
 
@@ -244,6 +259,7 @@
             leaving = self._left.get(agent_id, -1) >= endpoint.born
             state = EndpointState(endpoint, leaving=leaving)
             self._states[agent_id] = state
+            _show_limit(agent_id, self.find_limit(state))
             note(
                 _LOG,
                 "endpoint listed",
@@ -322,7 +338,7 @@
 
     def find_limit(self, state: EndpointState) -> float | None:
         """Return the requests a second that an endpoint takes, ``None`` if it has no limit."""
-        return self.limits.find_rate(state.endpoint.incarnation)
+        return self.limits.find_rate(state.endpoint.incarnation) if self.limits else None
 
     def record_limit(
         self, state: EndpointState, named: NamedLimit | None, *, limit_known: bool
@@ -331,8 +347,30 @@
 
         :param limit_known: whether a limit was known when the request was sent.
         """
-        endpoint = state.endpoint
-        self.limits.observe(endpoint.agent_id, endpoint.incarnation, named, limit_known=limit_known)
+        self.limits.observe(state.endpoint.incarnation, named, limit_known=limit_known)
+
+    def _take_limit(self, incarnation: IncarnationId, old: float | None) -> None:
+        """Show an endpoint's limit; let requests ask again at once if it has risen or ended."""
+        agent_id = AgentId(incarnation.rpartition("@")[0])
+        state = self._states.get(agent_id)
+        if state is None or state.endpoint.incarnation != incarnation:
+            return
+        rate = self.find_limit(state)
+        _show_limit(agent_id, rate)
+        if rate is None or (old is not None and rate > old):
+            state.ask_after = 0.0
+        self.touch()
+        self.notify()
+
+    def defer(self, state: EndpointState, now: float, ask_again: float, turn: float) -> None:
+        """Pass an endpoint over whose rate limit is used up.
+
+        :param ask_again: seconds until a grant may be asked for.
+        :param turn: seconds until a request that waits would have its turn.
+        """
+        state.ask_after = now + ask_again
+        state.turn_at = now + turn
+        self.touch()
 
     def record_success(self, state: EndpointState) -> None:
         """Forget failures."""
@@ -372,6 +410,7 @@
             suspect=state.suspect_until > now,
             unread_tokens=told.unread_tokens,
             connected=state.has_kept(now),
+            room_limit=None if self.find_limit(state) is None else 1,
         )
         return load if all_heard else self._add_reported(load, state, now)
 
@@ -398,5 +437,13 @@
         return 1 if endpoint.region == self._region else 2
 
 
+def _show_limit(agent_id: AgentId, rate: float | None) -> None:
+    if rate is not None:
+        RATE_LIMIT.labels(agent_id).set(rate)
+    else:
+        with suppress(KeyError):
+            RATE_LIMIT.remove(agent_id)
+
+
 def _serves_other(before: EngineReport, report: EngineReport) -> bool:
     return (before.version, before.span, before.born) != (report.version, report.span, report.born)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 from wrenloft_core import (
@@ -13,7 +13,12 @@
     note,
     read_clock,
 )
-from wrenloft_policy import estimate_spent, pick_return, rank_urgency
+from wrenloft_policy import (
+    estimate_spent,
+    pick_limited_return,
+    pick_return,
+    rank_urgency,
+)
 from wrenloft_routing._budget import SharedBudget
 from wrenloft_routing._content import identify_content
 from wrenloft_routing._course import Course, build_ask
@@ -36,7 +41,13 @@
 from wrenloft_routing._gate import Gate, Placed, Refused
 from wrenloft_routing._loads import NOTHING, InProgress
 from wrenloft_routing._proof import CurrencyProof
-from wrenloft_routing._request_log import ATTEMPTS, FIRST_SECONDS, conclude, log_attempt
+from wrenloft_routing._request_log import (
+    ATTEMPTS,
+    FIRST_SECONDS,
+    RATE_LIMITED,
+    conclude,
+    log_attempt,
+)
 from wrenloft_routing._streams import StreamEnd, pump_stream
 from wrenloft_routing._table import RoutingTable, RuleKind, pick_target
 
@@ -69,10 +80,18 @@
 """When a caller should come back whose request was rejected by an endpoint that others replace."""
 
 
+TakeGrants = Callable[[Sequence[EndpointState], int], Awaitable[bool]]
+
+
+async def _need_no_grants(states: Sequence[EndpointState], rank: int) -> bool:
+    return True
+
+
 class Forwarder:
     """Takes callers' requests and sees each to its final answer.
 
     :param open_attempt: sends one attempt and returns the head of the answer.
+    :param take_grants: returns whether the rate limits of endpoints allow one request of a rank.
     """
 
     def __init__(
@@ -85,6 +104,7 @@
         random: Random,
         falls: FallWatch,
         guard: CrashGuard,
+        take_grants: TakeGrants = _need_no_grants,
     ) -> None:
         self.table: RoutingTable | None = None
         self._endpoints = endpoints
@@ -95,6 +115,7 @@
         self._random = random
         self._falls = falls
         self._guard = guard
+        self._take_grants = take_grants
         self._longest: dict[str, float] = {}
 
     async def forward(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
@@ -158,7 +179,7 @@
                 return self._hold_back(course, hold)
             placed = await self._place(course)
             if isinstance(placed, Refused):
-                return self._give_up(course, "place", placed.reason, placed.candidates)
+                return self._give_up(course, "place", placed)
             if not course.on_trial and self._guard.find_hold(course.content) is not None:
                 continue  # word of it came while the request waited for room
             outcome = await self._attempt(course, placed, sink)
@@ -207,7 +228,11 @@
         # that comes late is better than a refusal while endpoints have room.
         untried = course.attempts == 0 and course.not_sent == 0
         since = course.request.arrived if untried else read_clock()
-        return await self._gate.place(build_ask(course, since), course.tried)
+        ask = build_ask(course, since)
+        while True:
+            placed = await self._gate.place(ask, course.tried)
+            if isinstance(placed, Refused) or await self._take_grants(placed.states, course.rank):
+                return placed
 
     async def _attempt(self, course: Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
         """Send once; ``None`` means that another attempt may follow."""
@@ -338,7 +363,7 @@
         self._falls.note_unreachable(state)
         course.not_sent += 1
         if course.not_sent >= _NOT_SENT_LIMIT:
-            return self._give_up(course, "connect", result.reason)
+            return self._give_up(course, "connect", Refused(result.reason, 1))
         return None
 
     def _after_rejected(
@@ -360,7 +385,7 @@
         allowed = course.attempts < course.rule.max_attempts and not course.on_trial
         if allowed and self._budget.spend(course.service.name, now):
             return None
-        return self._give_up(course, "endpoint", result.reason)
+        return self._give_up(course, "endpoint", Refused(result.reason, 1))
 
     def _after_lost(self, course: Course, step: str, reason: str) -> Outcome | None:
         course.may_have_run = True
@@ -370,15 +395,22 @@
             reason = f"{reason}; no second try left in the budget"
         return Unknown(step, reason, course.peer)
 
-    def _give_up(self, course: Course, step: str, reason: str, candidates: int = 1) -> Outcome:
+    def _give_up(self, course: Course, step: str, refused: Refused) -> Outcome:
         """End a request that nobody runs; say "not run" only if that is certain."""
         if course.may_have_run or course.pump.begun:
-            return Unknown(step, reason, course.peer)
-        if course.attempts or course.not_sent:
+            return Unknown(step, refused.reason, course.peer)
+        left = max(0.0, course.left)
+        if refused.turn is not None:
+            RATE_LIMITED.inc()
+            turn = refused.turn
+            retry_after = pick_limited_return(
+                turn.wait, turn.rate, turn.waiting, left, self._random
+            )
+        elif course.attempts or course.not_sent:
             retry_after = _CONNECT_RETRY_SECONDS
         else:
-            retry_after = pick_return(max(0.0, course.left), candidates, self._random)
-        return NotRun(step, reason, course.peer, retry_after=retry_after)
+            retry_after = pick_return(left, refused.candidates, self._random)
+        return NotRun(step, refused.reason, course.peer, retry_after=retry_after)
 
     async def _take_reply(
         self,
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 from wrenloft_core import AgentId, ContentId, IncarnationId, NodeId, ServiceName
-from wrenloft_policy import LayerSpan, Standing
+from wrenloft_policy import LayerSpan, RateLimit, Standing
 from wrenloft_routing._crash_ledger import CrashNews, ToldCrash
 from wrenloft_routing._endpoints import EngineReport
+from wrenloft_routing._limit_ledger import LimitNews
 from wrenloft_routing._loads import InProgress, QueueLength
 from wrenloft_routing._members import NodeState
 from wrenloft_routing._packing import Item, pack_items, unpack_items
@@ -59,6 +60,7 @@
     :param states: of entry nodes, where they have changed.
     :param readings: of the store.
     :param crashes: of contents, where something new is known.
+    :param limits: that endpoints name, where they have changed.
     """
 
     at: float
@@ -70,6 +72,7 @@
     states: dict[NodeId, NodeState] | None = None
     readings: tuple[ReadingChange, ...] = ()
     crashes: CrashNews | None = None
+    limits: LimitNews | None = None
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -91,6 +94,8 @@
         fields["readings"] = [_encode_reading(each) for each in frame.readings]
     if frame.crashes:
         fields["crashes"] = encode_crashes(frame.crashes)
+    if frame.limits:
+        fields["limits"] = encode_limits(frame.limits)
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
@@ -118,6 +123,7 @@
         states={NodeId(node): NodeState(value) for node, value in fields.get("states", {}).items()},
         readings=tuple(_decode_reading(each) for each in fields.get("readings", [])),
         crashes=decode_crashes(fields.get("crashes", {})),
+        limits=decode_limits(fields.get("limits", [])),
     )
 
 
@@ -143,6 +149,29 @@
     }
 
 
+def encode_limits(news: LimitNews) -> list[list[Any]]:
+    """Return one row for each endpoint."""
+    return [encode_limit(incarnation, limit) for incarnation, limit in news.items()]
+
+
+def decode_limits(rows: list[list[Any]]) -> LimitNews:
+    """Return what rows say."""
+    return dict(decode_limit(row) for row in rows)
+
+
+def encode_limit(incarnation: IncarnationId, limit: RateLimit) -> list[Any]:
+    """Return one endpoint's limit as a row."""
+    return [incarnation, limit.rate, limit.missing, limit.sequence, limit.node]
+
+
+def decode_limit(row: list[Any]) -> tuple[IncarnationId, RateLimit]:
+    """Return what a row says."""
+    incarnation, rate, missing, sequence, node = row
+    rate = None if rate is None else float(rate)
+    limit = RateLimit(rate, int(missing), int(sequence), str(node))
+    return IncarnationId(str(incarnation)), limit
+
+
 def encode_loads(loads: dict[AgentId, InProgress]) -> list[list[Any]]:
     """Return one row for each endpoint."""
     return [
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -20,6 +20,7 @@
     choose_endpoint,
     count_seconds,
     count_unheard,
+    decide_limited_turn,
     decide_turn,
     estimate_unseen,
     must_insist,
@@ -100,12 +101,30 @@
         return (self.state, *(stage.state for stage in self.chain[1:]))
 
 
+@dataclass(frozen=True, slots=True)
+class LimitedTurn:
+    """What a request can expect of endpoints whose rate limits are used up.
+
+    :param wait: seconds until it would have its turn.
+    :param rate: requests a second that these endpoints take together.
+    :param waiting: requests that wait for them anywhere.
+    """
+
+    wait: float
+    rate: float
+    waiting: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """No endpoint can answer in time."""
+    """No endpoint can answer in time.
+
+    :param turn: set if only rate limits stand against it.
+    """
 
     reason: str
     candidates: int
+    turn: LimitedTurn | None = None
 
 
 class Gate:
@@ -206,6 +225,8 @@
             version = chosen.version if insisted else None
             candidates = len(snapshot.able)
             return Placed(chosen.state, choice.prediction, candidates, version, chosen.chain)
+        if choice is None and (turn := self._find_turn(ask, tried, now)) is not None:
+            return self._decide_turn(ask, turn, snapshot.work, now)
         if verdict is Verdict.REFUSE:
             known = len(self._endpoints.of_service(ask.service.name))
             if choice is None:
@@ -214,6 +235,33 @@
             return Refused(f"best of {len(snapshot.able)} needs {needed:.3f} s", len(snapshot.able))
         return None
 
+    def _find_turn(self, ask: Ask, tried: Collection[AgentId], now: float) -> LimitedTurn | None:
+        """Return what a request can expect if nothing but rate limits stands against it."""
+        service = ask.service
+        states = self._list_usable(service, tried, now)
+        if not any(each.ask_after > now for each in states):
+            return None
+        able = list_able(service, states, self.required_version(service, now), now, self._random)
+        limited = [each.state for each in able if each.state.ask_after > now]
+        rate = sum(self._endpoints.find_limit(each) or 0.0 for each in limited)
+        if not limited or not rate:
+            return None
+        line = self._waiting[service.name]
+        ahead = sum(each.order < ask.order for each in line)
+        elsewhere = self._endpoints.others.queue_of(service.name)
+        opens = max(0.0, min(each.turn_at for each in limited) - now)
+        waiting = len(line) + elsewhere.fresh + elsewhere.late
+        return LimitedTurn(opens + (ahead + elsewhere.fresh) / rate, rate, waiting)
+
+    def _decide_turn(self, ask: Ask, turn: LimitedTurn, work: float, now: float) -> Refused | None:
+        elapsed = now - ask.since + ask.spent
+        least = self._measure_least(ask, work)
+        left = ask.deadline - now
+        verdict = decide_limited_turn(turn.wait, least, elapsed, ask.aim, left)
+        if verdict is Verdict.HOLD:
+            return None
+        return Refused(f"rate limits leave room in {turn.wait:.2f} s", 0, turn)
+
     def _look(self, service: BackendService, tried: Collection[AgentId], now: float) -> Snapshot:
         """Return what is known of a service's endpoints now, or was a moment ago."""
         revision = (self._endpoints.revision, self.required_version(service, now))
@@ -321,13 +369,20 @@
     def _list_able(
         self, service: BackendService, tried: Collection[AgentId], now: float
     ) -> list[Able]:
-        states = [
+        usable = self._list_usable(service, tried, now)
+        states = [each for each in usable if each.ask_after <= now]
+        required = self.required_version(service, now)
+        return list_able(service, states, required, now, self._random)
+
+    def _list_usable(
+        self, service: BackendService, tried: Collection[AgentId], now: float
+    ) -> list[EndpointState]:
+        """Return the endpoints that nothing but weights or a rate limit keeps out."""
+        return [
             each
             for each in self._endpoints.of_service(service.name)
             if not each.leaving and each.endpoint.agent_id not in tried and each.full_until <= now
         ]
-        required = self.required_version(service, now)
-        return list_able(service, states, required, now, self._random)
 
 
 async def _wait(changed: asyncio.Event, ask: Ask) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
@@ -46,6 +46,7 @@
         crashes: CrashLedger,
     ) -> None:
         self.crashes = crashes
+        self.limits = endpoints.limits
         self._endpoints = endpoints
         self._members = members
         self._list_queues = list_queues
@@ -181,6 +182,7 @@
         self._load_parts_at = float("-inf")
         self._states: dict[NodeId, NodeState] = {}
         self._crash_revision = 0
+        self._limit_revision = 0
         self._revisions: dict[str, dict[str, int]] = {}
         self._begun_at: dict[str, float] = {}
 
@@ -197,11 +199,14 @@
         states = self._compare_states()
         crashes = self._gathered.crashes.list_changes(self._crash_revision)
         self._crash_revision = self._gathered.crashes.revision
-        changed = bool(loads or reports or lost or states or readings or crashes)
+        limits = self._gathered.limits.list_changes(self._limit_revision)
+        self._limit_revision = self._gathered.limits.revision
+        changed = bool(loads or reports or lost or states or readings or crashes or limits)
         changed = changed or queues != self._queues
         self._queues = queues
         heard = self._gathered.count_heard(self._scope, self._follower)
-        return Frame(now, heard, loads, queues, reports, lost, states, readings, crashes), changed
+        frame = Frame(now, heard, loads, queues, reports, lost, states, readings, crashes, limits)
+        return frame, changed
 
     def _compare_loads(self) -> dict[AgentId, InProgress]:
         current = self._gathered.sum_loads(self._scope, self._follower)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_limit_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_limit_ledger.py
@@ -1,95 +1,153 @@
-"""Rate limits by endpoint, as this node knows them."""
+"""Rate limits by endpoint, as all entry nodes know them together."""
 
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from prometheus_client import Gauge
-
-from wrenloft_core import AgentId, IncarnationId, NodeId, note, read_clock
-from wrenloft_policy import NamedLimit, RateLimit, update_limit
+from wrenloft_core import IncarnationId, NodeId, note, read_clock
+from wrenloft_policy import NamedLimit, RateLimit, join_limit, update_limit
 
 _LOG = logging.getLogger(__name__)
 
 MOST_LIMITS = 8192
 """Incarnations whose limits are kept, about 2 MB."""
 
-RATE_LIMIT = Gauge(
-    "wrenloft_endpoint_rate_limit",
-    "Requests a second that an endpoint takes from all entry nodes together",
-    ["endpoint"],
-)
+LimitNews = dict[IncarnationId, RateLimit]
 
 
 @dataclass(slots=True)
 class _Entry:
     limit: RateLimit | None = None
     known_at: float = 0.0
+    revision: int = 0
     unreadable: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class LimitInForce:
+    """A limit that binds an endpoint now.
+
+    :param rate: requests a second.
+    :param node: that saw it named.
+    :param age: seconds since this node has known it.
+    """
+
+    incarnation: IncarnationId
+    rate: float
+    node: str
+    age: float
+
+
 class LimitLedger:
     """Rate limits by incarnation of an endpoint.
 
+    Each change bears a number one above all known before, so that of two beliefs the later one
+    holds at every node, however often and in whichever order it hears them.
+
     :param node: this node.
+
+    ``on_change`` is called with each incarnation whose rate has changed, and the rate before.
     """
 
     def __init__(self, node: NodeId) -> None:
+        self.on_change: Callable[[IncarnationId, float | None], None] = lambda key, old: None
+        self.revision = 0
         self._node = node
         self._entries: OrderedDict[IncarnationId, _Entry] = OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, incarnation: IncarnationId) -> RateLimit | None:
+        """Return what is known of an endpoint's limit, ended ones included."""
+        entry = self._entries.get(incarnation)
+        return entry.limit if entry is not None else None
+
     def find_rate(self, incarnation: IncarnationId) -> float | None:
         """Return the requests a second that an endpoint takes, ``None`` if it has no limit."""
-        entry = self._entries.get(incarnation)
-        return entry.limit.rate if entry is not None and entry.limit is not None else None
+        limit = self.find(incarnation)
+        return limit.rate if limit is not None else None
 
     def observe(
-        self,
-        agent_id: AgentId,
-        incarnation: IncarnationId,
-        named: NamedLimit | None,
-        *,
-        limit_known: bool,
+        self, incarnation: IncarnationId, named: NamedLimit | None, *, limit_known: bool
     ) -> None:
         """Take what an answer says.
 
         :param limit_known: whether a limit was known when the request was sent. Only then does an
             answer without one count: an earlier one may arrive after the first that names it.
         """
-        entry = self._entries.get(incarnation) or _Entry()
         if named is not None and named.rate is None:
-            if entry.unreadable != named.text:
-                note(_LOG, "rate limit not readable", endpoint=agent_id, text=named.text[:40])
-            entry.unreadable = named.text
-            self._keep(incarnation, entry)
+            self._note_unreadable(incarnation, named.text)
             return
         if named is None and not limit_known:
             return
-        updated = update_limit(entry.limit, named.rate if named else None, self._node)
-        if updated is not None and updated is not entry.limit:
-            self._change(agent_id, incarnation, entry, updated)
+        known = self.find(incarnation)
+        updated = update_limit(known, named.rate if named else None, self._node)
+        if updated is not None and updated is not known:
+            self._change(incarnation, updated)
 
-    def _change(
-        self, agent_id: AgentId, incarnation: IncarnationId, entry: _Entry, limit: RateLimit
-    ) -> None:
+    def _note_unreadable(self, incarnation: IncarnationId, text: str) -> None:
+        entry = self._entries.get(incarnation) or _Entry()
+        if entry.unreadable != text:
+            note(_LOG, "rate limit not readable", endpoint=incarnation, text=text[:40])
+        entry.unreadable = text
+        self._keep(incarnation, entry)
+
+    def merge(self, news: LimitNews) -> None:
+        """Take what another node tells."""
+        for incarnation, told in news.items():
+            known = self.find(incarnation)
+            joined = join_limit(known, told)
+            if joined is not known:
+                self._change(incarnation, joined)
+
+    def list_changes(self, since: int) -> LimitNews:
+        """Return what has changed after a revision of this ledger, to be told."""
+        if since == self.revision:
+            return {}
+        return {
+            incarnation: entry.limit
+            for incarnation, entry in self._entries.items()
+            if entry.revision > since and entry.limit is not None
+        }
+
+    def list_in_force(self) -> list[LimitInForce]:
+        """Return all limits that bind an endpoint now."""
+        now = read_clock()
+        return [
+            LimitInForce(key, each.limit.rate, each.limit.node, now - each.known_at)
+            for key, each in sorted(self._entries.items())
+            if each.limit is not None and each.limit.rate is not None
+        ]
+
+    def _change(self, incarnation: IncarnationId, limit: RateLimit) -> None:
+        entry = self._entries.get(incarnation) or _Entry()
         old = entry.limit.rate if entry.limit is not None else None
-        entry.limit, entry.known_at = limit, read_clock()
+        now = read_clock()
+        age = now - entry.known_at if entry.limit is not None else 0.0
+        self.revision += 1
+        entry.limit, entry.revision = limit, self.revision
         self._keep(incarnation, entry)
         if limit.rate == old:
             return
-        message = "rate limit changed" if old is not None else "rate limit named"
+        entry.known_at = now
+        self._note_change(incarnation, old, limit, age)
+        self.on_change(incarnation, old)
+
+    def _note_change(
+        self, incarnation: IncarnationId, old: float | None, limit: RateLimit, age: float
+    ) -> None:
+        message = "rate limit named" if old is None else "rate limit changed"
         if limit.rate is None:
             message = "rate limit ended"
-            RATE_LIMIT.remove(agent_id)
-        else:
-            RATE_LIMIT.labels(agent_id).set(limit.rate)
         note(
             _LOG,
             message,
-            endpoint=agent_id,
+            endpoint=incarnation,
             old=old,
             new=limit.rate,
-            sequence=limit.sequence,
+            old_age_ms=round(age * 1000),
             seen_by=limit.node,
         )
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -16,13 +16,16 @@
 from wrenloft_routing._followers import FollowedNode
 from wrenloft_routing._frames import (
     decode_crashes,
+    decode_limits,
     decode_loads,
     decode_queues,
     encode_crashes,
+    encode_limits,
     encode_loads,
     encode_queues,
 )
 from wrenloft_routing._gathered import Gathered
+from wrenloft_routing._limit_ledger import LimitNews
 from wrenloft_routing._loads import NOTHING, InProgress, LoadUpdate, QueueLength
 from wrenloft_routing._members import Members, NodeState
 from wrenloft_routing._metrics import MESSAGES
@@ -50,11 +53,13 @@
 
     :param ready: whether callers may be sent there.
     :param crashes: of contents, where something new is known there.
+    :param limits: that endpoints name, where they have changed.
     """
 
     ready: bool
     load: LoadUpdate
     crashes: CrashNews = field(default_factory=dict)
+    limits: LimitNews = field(default_factory=dict)
 
 
 class LoadRoutes:
@@ -101,10 +106,12 @@
         told: dict[AgentId, InProgress] = {}
         told_rest: tuple[bool, dict[ServiceName, QueueLength]] | None = None
         told_at = float("-inf")
-        told_crashes = 0
+        told_crashes = told_limits = 0
         while True:
             crashes = self._crashes.list_changes(told_crashes)
             told_crashes = self._crashes.revision
+            limits = self._endpoints.limits.list_changes(told_limits)
+            told_limits = self._endpoints.limits.revision
             current = self._endpoints.list_in_progress()
             changed = {
                 agent_id: current.get(agent_id, NOTHING)
@@ -113,9 +120,10 @@
             }
             rest = (self._is_ready(), self._list_queues())
             now = read_clock()
-            if changed or crashes or rest != told_rest or now - told_at >= LOADS_IDLE_SECONDS:
+            news = bool(changed or crashes or limits or rest != told_rest)
+            if news or now - told_at >= LOADS_IDLE_SECONDS:
                 told, told_rest, told_at = current, rest, now
-                update = NodeUpdate(rest[0], LoadUpdate(changed, rest[1]), crashes)
+                update = NodeUpdate(rest[0], LoadUpdate(changed, rest[1]), crashes, limits)
                 await response.write(encode_update(update))
                 MESSAGES.labels("load", "sent").inc()
             await asyncio.sleep(measure_frame_interval(self._members.count_near()))
@@ -129,8 +137,10 @@
         encode_loads(load.in_progress),
         encode_queues(load.queues),
     ]
-    if update.crashes:
+    if update.crashes or update.limits:
         fields.append(encode_crashes(update.crashes))
+    if update.limits:
+        fields.append(encode_limits(update.limits))
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
@@ -142,7 +152,9 @@
     try:
         ready, rows, queues, *rest = json.loads(line)
         load = LoadUpdate(decode_loads(rows), decode_queues(queues))
-        return NodeUpdate(bool(ready), load, decode_crashes(rest[0] if rest else {}))
+        crashes = decode_crashes(rest[0] if rest else {})
+        limits = decode_limits(rest[1] if len(rest) > 1 else [])
+        return NodeUpdate(bool(ready), load, crashes, limits)
     except (TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"no update: {error!r}") from error
 
@@ -199,5 +211,6 @@
         MESSAGES.labels("load", "received").inc()
         self._gathered.record_node(node.node_id, update.load)
         self._gathered.crashes.merge(update.crashes, CrashSource.PEER)
+        self._gathered.limits.merge(update.limits)
         state = NodeState.READY if update.ready else NodeState.UNREADY
         self._members.take_states({node.node_id: state})
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -27,6 +27,9 @@
     buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.6, 3.2),
 )
 ATTEMPTS = Counter("wrenloft_routing_attempts", "Sendings to endpoints by result", ["result"])
+RATE_LIMITED = Counter(
+    "wrenloft_rate_limited_requests", "Requests refused because of endpoints' rate limits"
+)
 
 
 def log_attempt(
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
@@ -183,6 +183,7 @@
         states.pop(self._members.own.node_id, None)
         self._members.take_states(states)
         self._gathered.crashes.merge(frame.crashes or {}, CrashSource.PEER)
+        self._gathered.limits.merge(frame.limits or {})
         self._take_readings(frame, mirror)
 
     def _take_reports(self, frame: Frame, heard: Iterable[str], now: float) -> None:
@@ -277,4 +278,5 @@
             self._take_reports(frame, heard_engines, now)
         self._members.take_states(frame.states or {})
         self._gathered.crashes.merge(frame.crashes or {}, CrashSource.PEER)
+        self._gathered.limits.merge(frame.limits or {})
         self._take_readings(frame, mirror)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -46,6 +46,7 @@
     Liveness,
     Lost,
     NotSent,
+    Refused,
     Rejected,
     ReplyBrokenError,
     RoutingTable,
@@ -488,7 +489,8 @@
         service = TABLE.services[ENGINES]
         course = Course(cast(CallerRequest, None), rule, service, None, 1, 0.0, ContentId(""))
         course.pump.begun = True
-        assert isinstance(bench.forwarder._give_up(course, "place", "no room"), Unknown)
+        refused = Refused("no room", 1)
+        assert isinstance(bench.forwarder._give_up(course, "place", refused), Unknown)
 
     async def test_stream_that_may_not_resume_is_aborted(self) -> None:
         """The caller sees a broken connection, and nothing is sent a second time."""
--- a/packages/wrenloft-routing/tests/test_limit_ledger.py
+++ b/packages/wrenloft-routing/tests/test_limit_ledger.py
@@ -4,11 +4,10 @@
 
 import pytest
 
-from wrenloft_core import AgentId, IncarnationId, NodeId
+from wrenloft_core import IncarnationId, NodeId
 from wrenloft_policy import ANSWERS_TO_END, NamedLimit
 from wrenloft_routing import LimitLedger
 
-AGENT = AgentId("e1")
 FIRST = IncarnationId("e1@1")
 
 
@@ -21,7 +20,7 @@
 def observe(ledger: LimitLedger, rate: float | None, *, limit_known: bool = True) -> None:
     """Take an answer that names a rate, or none."""
     named = None if rate is None else NamedLimit(rate, str(rate))
-    ledger.observe(AGENT, FIRST, named, limit_known=limit_known)
+    ledger.observe(FIRST, named, limit_known=limit_known)
 
 
 class TestObserve:
@@ -66,5 +65,5 @@
         observe(ledger, 1.8)
         with caplog.at_level(logging.INFO):
             for _ in range(ANSWERS_TO_END * 2):
-                ledger.observe(AGENT, FIRST, NamedLimit(None, "soon"), limit_known=True)
+                ledger.observe(FIRST, NamedLimit(None, "soon"), limit_known=True)
         assert ledger.find_rate(FIRST) == 1.8
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -22,7 +22,7 @@
     Signal,
     read_clock,
 )
-from wrenloft_policy import LayerSpan, Standing
+from wrenloft_policy import LayerSpan, RateLimit, Standing
 from wrenloft_routing import (
     CrashLedger,
     Endpoint,
@@ -96,6 +96,16 @@
         st.builds(ToldCrash, age=st.sampled_from([0.0, 1.25]), standing=st.sampled_from(Standing)),
     ),
 )
+limit_news = st.dictionaries(
+    st.sampled_from([IncarnationId("e1@5"), IncarnationId("e2@0")]),
+    st.builds(
+        RateLimit,
+        rate=st.sampled_from([None, 0.0, 1.8, 50.0]),
+        missing=st.integers(0, 2),
+        sequence=st.integers(1, 9),
+        node=st.sampled_from(["n1", "n2"]),
+    ),
+)
 frames = st.builds(
     Frame,
     at=st.floats(0, 1e6),
@@ -118,6 +128,7 @@
         max_size=2,
     ).map(tuple),
     crashes=crash_news,
+    limits=limit_news,
 )
 
 
@@ -129,10 +140,10 @@
         """Nothing of a frame is lost or changed on its way."""
         assert decode_frame(encode_frame(frame)) == frame
 
-    @given(st.booleans(), st.dictionaries(agents, in_progress), queues, crash_news)
-    def test_update_comes_back_as_it_was(self, ready, loads, waiting, crashes) -> None:
+    @given(st.booleans(), st.dictionaries(agents, in_progress), queues, crash_news, limit_news)
+    def test_update_comes_back_as_it_was(self, ready, loads, waiting, crashes, limits) -> None:
         """The same holds for what nodes tell."""
-        update = NodeUpdate(ready, LoadUpdate(loads, waiting), crashes)
+        update = NodeUpdate(ready, LoadUpdate(loads, waiting), crashes, limits)
         assert decode_update(encode_update(update)) == update
 
     @given(st.one_of(st.binary(max_size=40), st.text(max_size=40).map(str.encode)))
