--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -11,6 +11,7 @@
     AIM_SHARE_MOST,
     HOLD_SHARE,
     LATE_SHARE,
+    LEAST_RATE,
     Choice,
     EndpointLoad,
     Prediction,
@@ -30,7 +31,7 @@
 from wrenloft_routing._chains import Able, ChainStage, list_able
 from wrenloft_routing._endpoints import Endpoints, EndpointState
 from wrenloft_routing._loads import QueueLength
-from wrenloft_routing._snapshot import Snapshot
+from wrenloft_routing._snapshot import Opening, Snapshot
 from wrenloft_routing._table import BackendService
 
 WORK_SECONDS = 0.03
@@ -225,7 +226,7 @@
             version = chosen.version if insisted else None
             candidates = len(snapshot.able)
             return Placed(chosen.state, choice.prediction, candidates, version, chosen.chain)
-        if choice is None and (turn := self._find_turn(ask, tried, now)) is not None:
+        if choice is None and (turn := self._find_turn(ask, snapshot, now)) is not None:
             return self._decide_turn(ask, turn, snapshot.work, now)
         if verdict is Verdict.REFUSE:
             known = len(self._endpoints.of_service(ask.service.name))
@@ -235,23 +236,17 @@
             return Refused(f"best of {len(snapshot.able)} needs {needed:.3f} s", len(snapshot.able))
         return None
 
-    def _find_turn(self, ask: Ask, tried: Collection[AgentId], now: float) -> LimitedTurn | None:
+    def _find_turn(self, ask: Ask, snapshot: Snapshot, now: float) -> LimitedTurn | None:
         """Return what a request can expect if nothing but rate limits stands against it."""
-        service = ask.service
-        states = self._list_usable(service, tried, now)
-        if not any(each.ask_after > now for each in states):
-            return None
-        able = list_able(service, states, self.required_version(service, now), now, self._random)
-        limited = [each.state for each in able if each.state.ask_after > now]
-        rate = sum(self._endpoints.find_limit(each) or 0.0 for each in limited)
-        if not limited or not rate:
+        opening = snapshot.opening
+        if opening is None:
             return None
-        line = self._waiting[service.name]
-        ahead = sum(each.order < ask.order for each in line)
-        elsewhere = self._endpoints.others.queue_of(service.name)
-        opens = max(0.0, min(each.turn_at for each in limited) - now)
-        waiting = len(line) + elsewhere.fresh + elsewhere.late
-        return LimitedTurn(opens + (ahead + elsewhere.fresh) / rate, rate, waiting)
+        service = ask.service.name
+        ahead = sum(each.order < ask.order for each in self._waiting[service])
+        elsewhere = self._endpoints.others.queue_of(service)
+        wait = max(0.0, opening.at - now) + (ahead + elsewhere.fresh) / opening.rate
+        waiting = len(self._waiting[service]) + elsewhere.fresh + elsewhere.late
+        return LimitedTurn(wait, opening.rate, waiting)
 
     def _decide_turn(self, ask: Ask, turn: LimitedTurn, work: float, now: float) -> Refused | None:
         elapsed = now - ask.since + ask.spent
@@ -271,7 +266,8 @@
         able = self._list_able(service, tried, now)
         work = self._work.get(service.name, WORK_SECONDS)
         loads = self._measure(able, service, now)
-        snapshot = Snapshot(now, revision, able, loads, service.engine, work)
+        opening = None if able else self._find_opening(service, tried, now)
+        snapshot = Snapshot(now, revision, able, loads, service.engine, work, opening)
         if not tried:
             self._snapshots[service.name] = snapshot
         return snapshot
@@ -374,6 +370,20 @@
         required = self.required_version(service, now)
         return list_able(service, states, required, now, self._random)
 
+    def _find_opening(
+        self, service: BackendService, tried: Collection[AgentId], now: float
+    ) -> Opening | None:
+        """Return when endpoints that only their rate limits keep out take a request again."""
+        if not len(self._endpoints.limits):
+            return None
+        states = self._list_usable(service, tried, now)
+        able = list_able(service, states, self.required_version(service, now), now, self._random)
+        limited = [each.state for each in able if each.state.ask_after > now]
+        if not limited:
+            return None
+        rates = [max(LEAST_RATE, self._endpoints.find_limit(each) or 0.0) for each in limited]
+        return Opening(min(each.turn_at for each in limited), sum(rates))
+
     def _list_usable(
         self, service: BackendService, tried: Collection[AgentId], now: float
     ) -> list[EndpointState]:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_snapshot.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_snapshot.py
@@ -17,6 +17,18 @@
 """Best endpoints remembered: a further request is compared with these in place of all."""
 
 
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """When endpoints whose rate limits are used up take a request again.
+
+    :param at: the soonest time of any.
+    :param rate: requests a second that they take together.
+    """
+
+    at: float
+    rate: float
+
+
 @dataclass(slots=True)
 class Snapshot:
     """Endpoints that can take a request of a service, and their loads.
@@ -24,6 +36,7 @@
     :param revision: of what is known of endpoints beyond their loads, and the oldest version on
         which requests may begin.
     :param work: seconds of work on a request at a plain service.
+    :param opening: set if none is able and only rate limits keep some out.
     """
 
     taken_at: float
@@ -32,6 +45,7 @@
     loads: list[EndpointLoad]
     engine: EngineProfile | None
     work: float
+    opening: Opening | None = None
     _index: dict[str, int] = field(default_factory=dict)
     _best: list[int] = field(default_factory=list)
     _rooms: dict[float, int] = field(default_factory=dict)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, cast
@@ -25,7 +25,14 @@
     Unknown,
     read_clock,
 )
-from wrenloft_policy import Crash, EngineProfile, LayerSpan, NamedLimit, WantedVersion
+from wrenloft_policy import (
+    ANSWERS_TO_END,
+    Crash,
+    EngineProfile,
+    LayerSpan,
+    NamedLimit,
+    WantedVersion,
+)
 from wrenloft_routing import (
     Attempt,
     BackendService,
@@ -38,6 +45,7 @@
     CurrencyProof,
     Endpoint,
     Endpoints,
+    EndpointState,
     EngineReport,
     FallWatch,
     Forwarder,
@@ -193,6 +201,9 @@
 
     def __init__(self, *outcomes: Any, slack: float = 100.0) -> None:
         self.outcomes = list(outcomes)
+        self.asked: list[tuple[list[AgentId], int]] = []
+        self.denied: set[AgentId] = set()
+        self.turn = 60.0
         self.attempts: list[Attempt] = []
         self.endpoints = Endpoints(PLACE, REGION)
         self.endpoints.update(
@@ -222,9 +233,28 @@
             watch,
             self.guard,
         )
+        self.forwarder._take_grants = self._take_grants
         self.forwarder.table = TABLE
         self.sink = FakeSink()
 
+    async def _take_grants(self, states: Sequence[EndpointState], rank: int) -> bool:
+        self.asked.append(([each.endpoint.agent_id for each in states], rank))
+        now = read_clock()
+        for state in states:
+            if state.endpoint.agent_id in self.denied:
+                self.endpoints.defer(state, now, 60.0, self.turn)
+                return False
+        return True
+
+    def limit(self, *numbers: int, turn: float = 60.0) -> None:
+        """Have plain endpoints name a rate limit that is used up."""
+        self.turn = turn
+        for number in numbers:
+            state = self.endpoints.get(AgentId(f"{PLAIN}-{number}"))
+            assert state is not None
+            self.endpoints.record_limit(state, NamedLimit(2.0, "2"), limit_known=False)
+            self.denied.add(state.endpoint.agent_id)
+
     def set_spans(self, spans: dict[int, LayerSpan]) -> None:
         """Report which layers each engine serves."""
         for number, span in spans.items():
@@ -304,6 +334,95 @@
         assert (bench.sink.status, bench.sink.body) == (200, b"ok")
 
 
+class TestRateLimits:
+    """Tests of requests to endpoints that name a rate limit."""
+
+    async def test_every_try_asks_for_a_grant(self) -> None:
+        """Guards against second tries that pass by the limit."""
+        bench = Bench(Lost("reset"), FakeReply([b"ok"]))
+        await bench.ask("safe")
+        assert len(bench.attempts) == len(bench.asked) == 2
+
+    async def test_stream_that_goes_on_elsewhere_asks_for_a_grant(self) -> None:
+        """Guards against resumed streams that pass by the limit."""
+        broken = FakeReply([_events(0), ReplyBrokenError("cut")], is_stream=True)
+        bench = Bench(broken, FakeReply([_events(1)], is_stream=True))
+        await bench.ask("stream")
+        assert len(bench.attempts) == len(bench.asked) == 2
+
+    async def test_chain_asks_for_each_of_its_engines(self) -> None:
+        """Guards against an engine in need that is reached behind another one."""
+        bench = Bench(FakeReply([_events(0)], is_stream=True))
+        bench.set_spans({0: LayerSpan(0, 8), 1: LayerSpan(8, 16), 2: LayerSpan(8, 8)})
+        await bench.ask("stream")
+        assert [len(states) for states, _ in bench.asked] == [2]
+
+    async def test_request_goes_on_to_an_endpoint_with_room_at_once(self) -> None:
+        """Guards against waiting for an endpoint in need while others are idle."""
+        bench = Bench(FakeReply([b"ok"]))
+        bench.limit(0, 1)
+        begun = read_clock()
+        await bench.ask("safe")
+        assert bench.sink.status == 200
+        assert bench.attempts[0].endpoint.agent_id == f"{PLAIN}-2"
+        assert read_clock() - begun < 0.1
+
+    async def test_request_without_a_turn_is_refused_at_once(self) -> None:
+        """Guards against callers that wait for what endpoints in need will never take."""
+        bench = Bench()
+        bench.limit(0, 1, 2)
+        begun = read_clock()
+        outcome = await bench.ask("safe")
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason.startswith("rate limits leave room in")
+        assert bench.sink.status == 503
+        assert float(bench.sink.headers["Retry-After"]) > 0
+        assert read_clock() - begun < 0.1
+
+    async def test_request_waits_for_a_turn_that_comes_soon(self) -> None:
+        """Guards against refusing what can be answered in time a moment later."""
+        bench = Bench(FakeReply([b"ok"]))
+        bench.limit(0, 1, 2, turn=0.05)
+        asking = asyncio.create_task(bench.ask("safe"))
+        await asyncio.sleep(0.05)
+        bench.denied.clear()
+        for number in range(3):
+            state = bench.endpoints.get(AgentId(f"{PLAIN}-{number}"))
+            assert state is not None
+            state.ask_after = 0.0
+        await asking
+        assert bench.sink.status == 200
+
+    async def test_limits_that_end_let_requests_through_at_once(self) -> None:
+        """Guards against endpoints that stay passed over after their limit has ended."""
+        bench = Bench(FakeReply([b"ok"]))
+        bench.limit(0, 1, 2)
+        await bench.ask("safe")
+        bench.denied.clear()
+        bench.sink = FakeSink()
+        state = bench.endpoints.get(AgentId(f"{PLAIN}-1"))
+        assert state is not None
+        for _ in range(ANSWERS_TO_END):
+            bench.endpoints.record_limit(state, None, limit_known=True)
+        await bench.ask("safe")
+        assert bench.sink.status == 200
+
+    async def test_endpoint_that_started_again_is_not_bound(self) -> None:
+        """Guards against a limit that outlives the incarnation that named it."""
+        bench = Bench(FakeReply([b"ok"]))
+        bench.limit(0, 1, 2)
+        await bench.ask("safe")
+        bench.denied.clear()
+        bench.sink = FakeSink()
+        again = Endpoint(AgentId(f"{PLAIN}-0"), PLAIN, "a0:1", PLACE, REGION, 4, born=5)
+        bench.endpoints.update([again], trusted=True)
+        state = bench.endpoints.get(again.agent_id)
+        assert state is not None
+        assert bench.endpoints.find_limit(state) is None
+        await bench.ask("safe")
+        assert bench.sink.status == 200
+
+
 class TestWholeAnswers:
     """Tests of answers that are passed on whole."""
 
