--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -49,6 +49,7 @@
 from wrenloft_routing._gathered import FrameWriter, Gathered
 from wrenloft_routing._grants import GrantRoutes, Grants
 from wrenloft_routing._limit_ledger import LimitInForce, LimitLedger, LimitNews
+from wrenloft_routing._limit_routes import LimitRoutes
 from wrenloft_routing._limiter import Grant, GrantRequest, Limiter
 from wrenloft_routing._liveness import Liveness, probe_address
 from wrenloft_routing._load_streams import (
@@ -138,6 +139,7 @@
     "LimitInForce",
     "LimitLedger",
     "LimitNews",
+    "LimitRoutes",
     "Limiter",
     "Liveness",
     "LoadRoutes",
--- a/packages/wrenloft/src/wrenloft/_cli.py
+++ b/packages/wrenloft/src/wrenloft/_cli.py
@@ -445,6 +445,37 @@
         return EXIT_OK
 
 
+class _LimitsList(_OperatorCommand):
+    name = "limits list"
+    description = "Lists the rate limits that endpoints name, as one entry node knows them."
+    options = [_INTERNAL, _JSON]
+
+    def handle(self) -> int:
+        return self.run_call(self._list)
+
+    async def _list(self) -> int:
+        answer = await self.client().get("limits")
+        if self.option("json"):
+            self.line(json.dumps(answer, indent=2))
+            return EXIT_OK
+        for each in answer["limits"]:
+            self.line(describe_limit(each))
+        if not answer["limits"]:
+            self.line("no endpoint names a rate limit")
+        return EXIT_OK
+
+
+def describe_limit(row: dict[str, Any]) -> str:
+    """Return one line about a rate limit in force.
+
+    :param row: as an entry node lists it.
+    """
+    return (
+        f"{row['endpoint']}  {row['rate']:g} requests a second for {row['age_s']:.0f} s "
+        f"({row['service']}; seen by {row['seen_by']}, granted by {row['limiter']})"
+    )
+
+
 def describe_hold(row: dict[str, Any]) -> str:
     """Return one line about a content that is held back.
 
@@ -498,6 +529,7 @@
         _Drain,
         _HeldList,
         _HeldLift,
+        _LimitsList,
         _KeyHash,
         _Manifest,
     ):
