Grant the whole limit wherever most of the fleet is heard

What callers saw: in a zone of two entry nodes of which one had died, an endpoint with a limit of 1.8 a second got 0.9, for the 24 s in which the dead node stays registered. Found by test_limiter_that_fails_is_replaced (new, with the nodes as processes). Cause: the limiter's part went by its zone alone. It now uses all of the limit while it hears most of the fleet, of which there is one part at most, and otherwise as much as it has of the endpoint's zone.

Sum at worst, clean partition: the limit, plus what a smaller part that holds some of the endpoint's zone uses: below 1.7 limits where the zone itself is split, 1.25 where it is cut off whole.

More tests over processes: each node learns of a limit, its change and its end; callers beyond the limits; limiter killed and stopped; store away; the command.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
@@ -9,7 +9,6 @@
 from wrenloft_policy._endpoints import (
     LATE_HOLD_SHARE,
     LEAST_RETURN_SECONDS,
-    OUTAGE_RETURN_SHARE,
     Verdict,
 )
 
@@ -118,26 +117,30 @@
 
     @property
     def share(self) -> float:
-        """The part of a limit that these may use.
+        """The part that is heard."""
+        return self.heard / max(1, self.listed)
 
-        More than half are one group at most and use all of it; any smaller groups use less than
-        half of it together.
-        """
-        return 1.0 if 2 * self.heard > self.listed else self.heard / max(1, self.listed)
+    @property
+    def is_majority(self) -> bool:
+        """Whether more than half are heard, which is so in one part of a split fleet at most."""
+        return 2 * self.heard > self.listed
 
 
 def allot_rate(rate: float, zone: Group, fleet: Group) -> float:
     """Return the part of a limit that one limiter grants.
 
-    Answers partitions: parts of the fleet that do not hear one another have a limiter each.
+    Answers partitions: parts of the fleet that do not hear one another have a limiter each. The
+    part with most of the nodes uses all of the limit, as if the others were dead, and any other
+    part as much as it has of the endpoint's zone.
 
     :param rate: the endpoint's limit, in requests a second.
     :param zone: the entry nodes of the endpoint's availability zone.
     """
     rate = max(LEAST_RATE, rate)
+    share = 1.0 if fleet.is_majority else fleet.share
     if zone.heard:
-        return rate * zone.share
-    return rate * fleet.share * (OUTSIDE_SHARE if zone.listed else 1.0)
+        return rate if fleet.is_majority else rate * zone.share
+    return rate * share * (OUTSIDE_SHARE if zone.listed else 1.0)
 
 
 def pick_limiter(endpoint: str, zone: Collection[str], fleet: Collection[str]) -> str:
@@ -168,6 +171,11 @@
     return min(ASK_AGAIN_LONGEST, due) * random.uniform(1.0, 1.3)
 
 
+LIMITED_RETURN_SHARE = 0.5
+"""Least part of the time that a caller waits at most, if its turn comes later than that. Limited
+endpoints take requests all the time, so those who return are spread over the rest."""
+
+
 def pick_limited_return(
     wait: float, rate: float, waiting: float, left: float, random: Random
 ) -> float:
@@ -182,7 +190,7 @@
     :param left: seconds that this caller has left.
     """
     turn = wait + random.uniform(0.0, max(1.0, waiting) / rate)
-    longest = random.uniform(OUTAGE_RETURN_SHARE, 1.0) * left / 3
+    longest = random.uniform(LIMITED_RETURN_SHARE, 1.0) * left / 3
     return max(LEAST_RETURN_SECONDS, min(turn, longest))
 
 
--- a/tests/platform/test_crashing_content.py
+++ b/tests/platform/test_crashing_content.py
@@ -311,19 +311,20 @@
     """An operator at any host; a lift of what is not held back fails with a clear error."""
     node = fleet.entries[1].settings
     address = f"{node['ip']}:{node['internal_port']}"
-    assert await _run_command("held", "list", "--node", address) == (0, "nothing is held back")
+    assert await run_command("held", "list", "--node", address) == (0, "nothing is held back")
     await fleet.wait_crashes(CRASHES)
     await asyncio.sleep(1.0)
-    code, line = await _run_command("held", "list", "--node", address)
+    code, line = await run_command("held", "list", "--node", address)
     assert code == 0, line
     content, _, rest = line.partition("  ")
     assert rest.startswith("3 endpoints fell")
-    assert (await _run_command("held", "lift", content, "--node", address))[0] == 0
-    code, line = await _run_command("held", "lift", content, "--node", address)
+    assert (await run_command("held", "lift", content, "--node", address))[0] == 0
+    code, line = await run_command("held", "lift", content, "--node", address)
     assert (code, line) == (1, f"{content} is not held back")
 
 
-async def _run_command(*words: str) -> tuple[int | None, str]:
+async def run_command(*words: str) -> tuple[int | None, str]:
+    """Run ``wrenloft`` with these words, and return its exit code and what it printed."""
     command = "from wrenloft._cli import main; main()"
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-c", command, *words,
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -1,18 +1,20 @@
 """Endpoints that name a rate limit, and what they get from several entry nodes."""
 
 import asyncio
+import signal
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 from aiohttp import ClientError, ClientSession
 
 from .conftest import LOOPBACK, LimitingEndpoint, StandinStore
-from .test_crashing_content import start_entries
+from .test_crashing_content import run_command, start_entries
 from .test_programs import CONFIGURATION, KEY, Entry
 
 SEED = 7
@@ -101,3 +103,92 @@
     until = asyncio.get_running_loop().time()
     assert limited.count_between(since, until) >= int(USED_SHARE * limit * (until - since))
     assert {status for status, _ in answers} == {200}
+
+
+async def list_limits(fleet: Fleet, entry: Entry) -> list[dict[str, Any]]:
+    """Return the limits in force, as operators see them at one node."""
+    node = entry.settings
+    url = f"http://{node['ip']}:{node['internal_port']}/operators/v1/limits"
+    async with fleet.client.get(url) as response:
+        limits: list[dict[str, Any]] = (await response.json())["limits"]
+        return limits
+
+
+async def wait_limits(fleet: Fleet, expected: dict[str, float]) -> list[dict[str, Any]]:
+    """Have callers come until every node knows these limits, by endpoint, and no others."""
+    async with asyncio.timeout(30):
+        while True:
+            await fleet.load(16.0, 0.3)
+            known = [await list_limits(fleet, each) for each in fleet.entries]
+            if all({row["endpoint"]: row["rate"] for row in rows} == expected for rows in known):
+                return known[0]
+
+
+async def test_every_node_learns_of_a_limit_of_its_change_and_of_its_end(fleet: Fleet) -> None:
+    """Guards against nodes that keep to what a limit was, or to one that has ended."""
+    limited = fleet.endpoints[0]
+    for text, rate in (("5", 5.0), ("1.8", 1.8), ("20", 20.0)):
+        limited.limit = text
+        await wait_limits(fleet, {"i-0": rate})
+    limited.limit = None
+    await wait_limits(fleet, {})
+
+
+async def test_callers_beyond_the_limits_are_told_when_to_return(fleet: Fleet) -> None:
+    """Guards against callers that wait for a turn they cannot have, or all return at once."""
+    for each in fleet.endpoints:
+        each.limit = "0.5"
+    await wait_limits(fleet, {"i-0": 0.5, "i-1": 0.5})
+    told_at = asyncio.get_running_loop().time()
+    answers = await fleet.load(16.0, 2 * WINDOW_SECONDS)
+    for each in fleet.endpoints:
+        assert each.count_most(WINDOW_SECONDS, told_at) <= most_allowed(0.5)
+    returns = [float(after) for status, after in answers if status == 503]
+    assert {status for status, _ in answers} == {200, 503}
+    assert min(returns) > 0
+    assert len(set(returns)) > 0.75 * len(returns)
+
+
+@pytest.mark.parametrize("fault", ["killed", "stopped"])
+async def test_limiter_that_fails_is_replaced(fleet: Fleet, fault: str) -> None:
+    """Guards against a limit that nobody grants any more, and against one granted twice."""
+    limited = fleet.endpoints[0]
+    limited.limit = "1.8"
+    (row,) = await wait_limits(fleet, {"i-0": 1.8})
+    told_at = asyncio.get_running_loop().time()
+    limiter = next(each for each in fleet.entries if each.settings["name"] == row["limiter"])
+    other = next(each for each in fleet.entries if each is not limiter)
+    limiter.process.send_signal(signal.SIGKILL if fault == "killed" else signal.SIGSTOP)
+    await fleet.load(16.0, WINDOW_SECONDS, other)
+    replaced_at = asyncio.get_running_loop().time()
+    if fault == "stopped":
+        limiter.process.send_signal(signal.SIGCONT)
+    await fleet.load(16.0, 2 * WINDOW_SECONDS, other)
+    until = asyncio.get_running_loop().time()
+    assert limited.count_most(WINDOW_SECONDS, told_at) <= most_allowed(1.8)
+    assert limited.count_between(replaced_at, until) >= int(
+        USED_SHARE * 1.8 * (until - replaced_at)
+    )
+
+
+async def test_requests_are_served_while_the_store_is_away(fleet: Fleet, store: Any) -> None:
+    """Guards against limits that are kept to only as long as the store is reached."""
+    limited = fleet.endpoints[0]
+    store.refuse = True
+    limited.limit = "1.8"
+    await wait_limits(fleet, {"i-0": 1.8})
+    told_at = asyncio.get_running_loop().time()
+    await fleet.load(16.0, WINDOW_SECONDS)
+    assert limited.count_most(WINDOW_SECONDS, told_at) <= most_allowed(1.8)
+
+
+async def test_command_lists_the_limits(fleet: Fleet) -> None:
+    node = fleet.entries[1].settings
+    address = f"{node['ip']}:{node['internal_port']}"
+    expected = (0, "no endpoint names a rate limit")
+    assert await run_command("limits", "list", "--node", address) == expected
+    fleet.endpoints[0].limit = "1.8"
+    await wait_limits(fleet, {"i-0": 1.8})
+    code, line = await run_command("limits", "list", "--node", address)
+    assert code == 0, line
+    assert line.startswith("i-0  1.8 requests a second for ")
