--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -557,7 +557,7 @@
     async def _refuse(self, outcome: NotRun, sink: AnswerSink) -> None:
         headers: Headers = (("Content-Type", "text/plain"),)
         if outcome.retry_after is not None:
-            headers += (("Retry-After", f"{outcome.retry_after:.2f}"),)
+            headers += (("Retry-After", f"{outcome.retry_after:.3f}"),)
         body = f"{outcome.step}: {outcome.reason}\n".encode()
         await sink.send_whole(outcome.status, headers, body)
 
