Leave room for bursts in what two parts of a split fleet grant

Now 1.375 at the most in two parts: a zone that hears all of itself uses all of the limit, most of the fleet uses all of it or a quarter (if it hears nobody of the zone), any other part three quarters of its share.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
@@ -79,8 +79,11 @@
 be lost while the next node's question is on its way."""
 
 OUTSIDE_SHARE = 0.25
-"""Part of a limit that nodes of other zones use while they hear nobody of the endpoint's own zone,
-whose nodes may be alive behind a partition and use all of it."""
+"""Part of a limit that the other zones use while they hear nobody of the endpoint's own zone, whose
+nodes may be alive behind a partition and use all of it."""
+
+MINORITY_SHARE = 0.75
+"""Part of its share that a smaller part of the fleet uses, while the larger one may use all."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,18 +132,18 @@
 def allot_rate(rate: float, zone: Group, fleet: Group) -> float:
     """Return the part of a limit that one limiter grants.
 
-    Answers partitions: parts of the fleet that do not hear one another have a limiter each. The
-    part with most of the nodes uses all of the limit, as if the others were dead, and any other
-    part as much as it has of the endpoint's zone.
+    Answers partitions: parts of the fleet that do not hear one another have a limiter each. Two
+    parts grant 1.375 times the limit at most, so that bursts fit into one and a half times of it.
 
     :param rate: the endpoint's limit, in requests a second.
     :param zone: the entry nodes of the endpoint's availability zone.
     """
     rate = max(LEAST_RATE, rate)
-    share = 1.0 if fleet.is_majority else fleet.share
-    if zone.heard:
-        return rate if fleet.is_majority else rate * zone.share
-    return rate * share * (OUTSIDE_SHARE if zone.listed else 1.0)
+    if zone.listed and zone.heard == zone.listed:
+        return rate
+    if not fleet.is_majority:
+        return rate * MINORITY_SHARE * fleet.share
+    return rate if zone.heard or not zone.listed else rate * OUTSIDE_SHARE
 
 
 def pick_limiter(endpoint: str, zone: Collection[str], fleet: Collection[str]) -> str:
