--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 HOSTS ?= 24
 GOAL ?= time
 
-.PHONY: demo test lint types unit prove generate bench-weights bench-requests bench-control bench-content
+.PHONY: demo test lint types unit prove generate bench-weights bench-requests bench-control bench-content bench-limits
 
 $(READY): constraints.txt requirements-build.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -42,6 +42,9 @@
 bench-content: $(READY)
 	$(BIN)/python bench/content.py
 
+bench-limits: $(READY)
+	$(BIN)/python bench/limits.py
+
 bench-control: $(READY)
 	$(BIN)/python bench/control.py
 
--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,117 @@
+"""What rate limits cost: microseconds a request, bytes of state and of messages.
+
+``make bench-limits`` prints the least of several rounds, so that other work on the machine
+changes little.
+"""
+
+import timeit
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+
+from wrenloft_core import AgentId, IncarnationId, NodeId, PlaceName, RegionName, ServiceName
+from wrenloft_policy import NamedLimit, RateLimit
+from wrenloft_routing import (
+    Ask,
+    BackendService,
+    Endpoint,
+    Endpoints,
+    Frame,
+    Gate,
+    GrantRequest,
+    Limiter,
+    LimitLedger,
+    Member,
+    Members,
+    NodeState,
+    encode_frame,
+)
+
+ROUNDS = 7
+SIZES = {9: 13, 98: 119, 300: 3000}
+"""Endpoints by entry nodes."""
+
+REGION = RegionName("r")
+SERVICE = ServiceName("s")
+
+
+def measure(act: Callable[[], object], count: int) -> float:
+    """Return the microseconds of one call."""
+    return min(timeit.repeat(act, number=count, repeat=ROUNDS)) / count * 1e6
+
+
+def build_members(count: int) -> Members:
+    """Return a node's view of a fleet of five zones."""
+    listed = [
+        Member(NodeId(f"n{k}"), PlaceName(f"z{k % 5}"), REGION, "", f"n{k}") for k in range(count)
+    ]
+    members = Members(listed[0])
+    members.update(listed)
+    members.take_states({each.node_id: NodeState.READY for each in listed})
+    return members
+
+
+def build_endpoints(count: int) -> Endpoints:
+    """Return so many endpoints of one service."""
+    endpoints = Endpoints(PlaceName("z0"), REGION, LimitLedger(NodeId("n0")))
+    endpoints.update(
+        [
+            Endpoint(AgentId(f"i-{k:010x}"), SERVICE, f"h{k}:1", PlaceName(f"z{k % 5}"), REGION, 8)
+            for k in range(count)
+        ],
+        trusted=True,
+    )
+    return endpoints
+
+
+def name_limits(endpoints: Endpoints, count: int) -> None:
+    """Have every endpoint name a limit."""
+    for number in range(count):
+        state = endpoints.get(AgentId(f"i-{number:010x}"))
+        assert state is not None
+        endpoints.record_limit(state, NamedLimit(1.8, "1.8"), limit_known=False)
+
+
+def measure_look(endpoints: Endpoints) -> float:
+    """Return the microseconds of a look at all endpoints of a service."""
+    gate = Gate(endpoints, Random(1), 8.0)
+    service = BackendService(SERVICE, 10)
+    ask = Ask(service, 1, 0.0, 0.0, 0.0, 0.5, 6.0)
+
+    def look() -> None:
+        endpoints.touch()
+        gate._decide(ask, ())
+
+    gate._waiting[SERVICE] = [ask]
+    return measure(look, 30)
+
+
+def main() -> None:
+    """Measure and print."""
+    print("nodes  endpoints  look  look, all limited  grant   us each")
+    for nodes, count in SIZES.items():
+        members = build_members(nodes)
+        endpoints = build_endpoints(count)
+        before = measure_look(endpoints)
+        tracemalloc.start()
+        name_limits(endpoints, count)
+        state_bytes = tracemalloc.get_traced_memory()[0] / count
+        tracemalloc.stop()
+        after = measure_look(endpoints)
+        limiter = Limiter(endpoints.limits, members, Random(1))
+        incarnation = IncarnationId("i-0000000000@0")
+        limit = RateLimit(1e9, 0, 99, "n0")
+        place = PlaceName("z0")
+        while limiter.find_limiter(incarnation, place) != members.own.node_id:
+            incarnation = IncarnationId(incarnation + "x")
+        request = GrantRequest(incarnation, place, limit, 1, NodeId("n1"))
+        grant = measure(lambda request=request, limiter=limiter: limiter.grant(request), 300)
+        print(f"{nodes:5}  {count:9}  {before:4.0f}  {after:17.0f}  {grant:5.1f}")
+        news = endpoints.limits.list_changes(0)
+        told = encode_frame(Frame(0.0, limits=news))
+        print(f"       told to a node that starts: {len(told) / 1000:.1f} kB")
+        print(f"       state of one limit: {state_bytes:.0f} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -149,14 +149,27 @@
     }
 
 
-def encode_limits(news: LimitNews) -> list[list[Any]]:
-    """Return one row for each endpoint."""
-    return [encode_limit(incarnation, limit) for incarnation, limit in news.items()]
+def encode_limits(news: LimitNews) -> list[list[Any]] | str:
+    """Return the limits as items are told: deflated where there are many."""
+    return pack_items([_write_limit(*each) for each in news.items()])
 
 
-def decode_limits(rows: list[list[Any]]) -> LimitNews:
-    """Return what rows say."""
-    return dict(decode_limit(row) for row in rows)
+def decode_limits(packed: Any) -> LimitNews:
+    """Return what was told.
+
+    :raises ValueError: if it is no such text.
+    """
+    return dict(_read_limit(each) for each in unpack_items(packed))
+
+
+def _write_limit(incarnation: IncarnationId, limit: RateLimit) -> Item:
+    value = json.dumps([limit.rate, limit.missing, limit.node]).encode()
+    return Item(incarnation, value, limit.sequence)
+
+
+def _read_limit(item: Item) -> tuple[IncarnationId, RateLimit]:
+    rate, missing, node = json.loads(item.value or b"null")
+    return decode_limit([item.key, rate, missing, item.revision, node])
 
 
 def encode_limit(incarnation: IncarnationId, limit: RateLimit) -> list[Any]:
