Look entry nodes up where they register while none is heard

What callers saw: no replica for good, once every entry node had been replaced before an agent was told of the new ones: the agent went on asking addresses at which nobody listens. Shown by test_survives_a_restart_of_which_no_agent_has_heard (red each time) and now and then by test_survives_the_restart_of_every_node.

Cause: an agent of the older design knows its first nodes and those that they told it of, nothing else.

Change: an agent that has heard no node for six seconds reads the registrations from the key-value service, as nodes do. While one home lives nothing is asked.

--- a/packages/wrenloft-agent/src/wrenloft_agent/_agent.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_agent.py
@@ -21,6 +21,7 @@
 from wrenloft_agent.nodes import AgentService, HomeNodes, RequestRoutes
 from wrenloft_agent.origin import OriginClient
 from wrenloft_agent.peers import ChunkRoutes
+from wrenloft_agent.platform import NodeDirectory
 from wrenloft_agent.runner import EngineOrders, Gate, RunnerCalls
 from wrenloft_core import (
     AgentId,
@@ -72,7 +73,12 @@
             self._notify,
         )
         self._homes = HomeNodes(
-            settings.nodes, settings.secret, self._describe, settings.report_seconds, random
+            settings.nodes,
+            settings.secret,
+            self._describe,
+            settings.report_seconds,
+            random,
+            NodeDirectory(session, settings.keyvalue).list_nodes,
         )
         self._requests = RequestRoutes(
             self.agent_id,
--- a/packages/wrenloft-agent/src/wrenloft_agent/_settings.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_settings.py
@@ -17,6 +17,7 @@
 
     :param name: the host's name; the id adds what tells one process from the next.
     :param nodes: gRPC addresses of entry nodes to begin with.
+    :param keyvalue: addresses of the key-value service, which lists the nodes that replaced them.
     :param secret: shared by wrenloft's own processes.
     :param capacity: requests that the runner works on at once.
     :param queue: requests that may wait at the agent.
@@ -35,6 +36,7 @@
     nodes: list[str]
     secret: str
     kind: RunnerKind = RunnerKind.ENGINE
+    keyvalue: list[str] = field(default_factory=list)
     origin: str = ""
     host: str = "127.0.0.1"
     http_port: int = 0
--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_attach.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_attach.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
 import grpc
 
-from wrenloft_core import Header
+from wrenloft_core import Header, PlatformUnavailableError
 from wrenloft_messages import extract_load, messages, services
 
 _LOG = logging.getLogger(__name__)
@@ -18,6 +18,10 @@
 _SILENCE_SECONDS = 4.0
 _RETRY_LONGEST = 2.0
 
+_LOOK_UP_SECONDS = 6.0
+"""Without a word of any node after which the list of nodes is read: longer than a node's silence
+and a retry, so that the death of one home asks nothing of the service."""
+
 
 @dataclass(frozen=True, slots=True)
 class Rules:
@@ -44,6 +48,7 @@
     """Keeps two streams open, each to another entry node.
 
     :param describe: returns the agent's present record.
+    :param list_nodes: returns the addresses of the nodes that are registered now.
     """
 
     def __init__(
@@ -53,7 +58,10 @@
         describe: Callable[[], messages.AgentRecord],
         report_seconds: float,
         random: Random,
+        list_nodes: Callable[[], Awaitable[list[str]]],
     ) -> None:
+        self._list_nodes = list_nodes
+        self._heard_at = 0.0
         self._known = _Known(list(addresses))
         self._seeds = list(addresses)
         self._metadata = ((Header.SECRET.lower(), secret),)
@@ -67,7 +75,9 @@
 
     def start(self) -> None:
         """Open the streams."""
+        self._heard_at = asyncio.get_running_loop().time()
         self._tasks = [asyncio.create_task(self._keep_home()) for _ in range(HOME_COUNT)]
+        self._tasks.append(asyncio.create_task(self._find_nodes()))
 
     async def close(self) -> None:
         """End the streams."""
@@ -98,6 +108,27 @@
             pause = self._random.uniform(0.0, _RETRY_LONGEST)
             self._known.avoided[address] = asyncio.get_running_loop().time() + pause
 
+    async def _find_nodes(self) -> None:
+        """Look nodes up while none is heard.
+
+        An agent whose nodes were all replaced before they could tell it of the new ones has nobody
+        else to ask: its engine would never be ordered again.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_LOOK_UP_SECONDS * self._random.uniform(0.5, 1.0))
+            if loop.time() - self._heard_at < _LOOK_UP_SECONDS:
+                continue
+            try:
+                listed = await self._list_nodes()
+            except PlatformUnavailableError as error:
+                _LOG.warning("entry nodes not looked up: %s", error)
+                continue
+            if listed:
+                _LOG.info("no entry node heard; %d are registered", len(listed))
+                self._random.shuffle(listed)
+                self._known.addresses = listed
+
     def _pick(self) -> str | None:
         now = asyncio.get_running_loop().time()
         for address in [*self._known.addresses, *self._seeds]:
@@ -115,6 +146,7 @@
                     notice = await call.read()
                 if not isinstance(notice, messages.NodeNotice):
                     return
+                self._heard_at = asyncio.get_running_loop().time()
                 self._take(notice)
                 if notice.draining:
                     self._known.avoided[address] = asyncio.get_running_loop().time() + 60.0
--- a/packages/wrenloft-standins/src/wrenloft_standins/_deployment.py
+++ b/packages/wrenloft-standins/src/wrenloft_standins/_deployment.py
@@ -116,7 +116,7 @@
         self, name: str, service: str, place: Place, kind: str, **settings: object
     ) -> Process:
         """Start an agent before its runner."""
-        assert self.origin is not None
+        assert self.keyvalue is not None and self.origin is not None
         process = self.agents[name] = await self.fleet.start_agent(
             name,
             {
@@ -124,6 +124,7 @@
                 "region": place.region,
                 "runner": self.runners[name].http,
                 "kind": kind,
+                "keyvalue": [self.keyvalue.http],
                 "origin": self.origin.http,
                 "nodes": [each.grpc for each in self.nodes if each.running],
                 "labels": {"service": service},
