--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -274,8 +274,8 @@
     Safeguard(
         "routing: what is not idempotent is not repeated",
         f"{ROUTING}/_forward.py",
-        "return course.rule.idempotent and attempts < course.rule.max_attempts",
-        "return attempts < course.rule.max_attempts",
+        "return progress.rule.idempotent and attempts < progress.rule.max_attempts",
+        "return attempts < progress.rule.max_attempts",
         f"{ROUTING_TESTS}/test_forward.py::TestWholeAnswers"
         "::test_unsafe_request_is_never_sent_twice",
     ),
@@ -410,7 +410,7 @@
     Safeguard(
         "a version that is due is no failure of the engine",
         f"{ROUTING}/_forward.py",
-        "if read_clock() >= course.begin_by:",
+        "if read_clock() >= progress.begin_by:",
         "if False:",
         f"{ROUTING_TESTS}/test_forward.py::TestVersions"
         "::test_engine_is_not_blamed_for_a_version_that_is_due",
@@ -710,15 +710,15 @@
     Safeguard(
         "a trial has one try",
         f"{ROUTING}/_forward.py",
-        "allowed = course.rule.idempotent and not course.on_trial",
-        "allowed = course.rule.idempotent",
+        "allowed = progress.rule.idempotent and not progress.on_trial",
+        "allowed = progress.rule.idempotent",
         f"{ROUTING_TESTS}/test_forward.py::TestHeldContent"
         "::test_failure_of_a_trial_is_passed_on",
     ),
     Safeguard(
         "word that comes while a request waits is heeded",
         f"{ROUTING}/_forward.py",
-        "if not course.on_trial and self._guard.find_hold(course.content) is not None:",
+        "if not progress.on_trial and self._guard.find_hold(progress.content) is not None:",
         "if False:",
         f"{ROUTING_TESTS}/test_forward.py::TestHeldContent"
         "::test_word_that_comes_while_a_repeat_waits_for_room_is_heeded",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -21,7 +21,6 @@
 )
 from wrenloft_routing._budget import SharedBudget
 from wrenloft_routing._content import identify_content
-from wrenloft_routing._course import Course, build_ask
 from wrenloft_routing._crash_guard import CrashGuard
 from wrenloft_routing._crash_ledger import Hold
 from wrenloft_routing._endpoints import Endpoints, EndpointState
@@ -48,6 +47,7 @@
     conclude,
     log_attempt,
 )
+from wrenloft_routing._request_progress import RequestProgress, build_ask
 from wrenloft_routing._streams import StreamEnd, pump_stream
 from wrenloft_routing._table import RoutingTable, RuleKind, pick_target
 
@@ -120,20 +120,20 @@
 
     async def forward(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
         """Answer a request; every way out gives exactly one final answer."""
-        course = self._admit(request)
-        if isinstance(course, NotRun):
-            await self._refuse(course, sink)
-            conclude(request, "none", course, None)
-            return course
-        outcome = await self._run(course, sink)
+        progress = self._admit(request)
+        if isinstance(progress, NotRun):
+            await self._refuse(progress, sink)
+            conclude(request, "none", progress, None)
+            return progress
+        outcome = await self._run(progress, sink)
         if isinstance(outcome, NotRun):
             await self._refuse(outcome, sink)
         elif isinstance(outcome, Unknown):
-            await self._fail(course, outcome, sink)
-        conclude(request, course.rule.kind.value, outcome, course)
+            await self._fail(progress, outcome, sink)
+        conclude(request, progress.rule.kind.value, outcome, progress)
         return outcome
 
-    def _admit(self, request: CallerRequest) -> Course | NotRun:
+    def _admit(self, request: CallerRequest) -> RequestProgress | NotRun:
         """Check that the configuration allows the request."""
         table = self.table
         if table is None:
@@ -158,9 +158,9 @@
         patience = rule.timeout if request.patience is None else request.patience
         deadline = request.arrived + min(patience, rule.timeout)
         content = identify_content(organisation, request.target, request.body_digest)
-        course = Course(request, rule, service, organisation, rank, deadline, content)
-        course.spent = self._estimate_spent(rule.name, patience)
-        return course
+        progress = RequestProgress(request, rule, service, organisation, rank, deadline, content)
+        progress.spent = self._estimate_spent(rule.name, patience)
+        return progress
 
     def _estimate_spent(self, rule: str, patience: float) -> float:
         """Estimate the seconds since the caller's first attempt, from how long it will still wait.
@@ -171,95 +171,97 @@
         self._longest[rule] = longest
         return estimate_spent(patience, longest)
 
-    async def _run(self, course: Course, sink: AnswerSink) -> Outcome:
+    async def _run(self, progress: RequestProgress, sink: AnswerSink) -> Outcome:
         """Send attempts until one gives the answer or no further one is allowed."""
-        self._budget.earn(course.service.name, read_clock())
+        self._budget.earn(progress.service.name, read_clock())
         while True:
-            if (hold := await self._find_hold(course)) is not None:
-                return self._hold_back(course, hold)
-            placed = await self._place(course)
+            if (hold := await self._find_hold(progress)) is not None:
+                return self._hold_back(progress, hold)
+            placed = await self._place(progress)
             if isinstance(placed, Refused):
-                return self._give_up(course, "place", placed)
-            if not course.on_trial and self._guard.find_hold(course.content) is not None:
+                return self._give_up(progress, "place", placed)
+            if not progress.on_trial and self._guard.find_hold(progress.content) is not None:
                 continue  # word of it came while the request waited for room
-            outcome = await self._attempt(course, placed, sink)
+            outcome = await self._attempt(progress, placed, sink)
             if outcome is not None:
                 return outcome
 
-    async def _find_hold(self, course: Course) -> Hold | None:
+    async def _find_hold(self, progress: RequestProgress) -> Hold | None:
         """Return why a request must not be sent, ``None`` if it may be.
 
         A request that crashes each engine that begins it comes again under a new id, at any node.
         Unless all tries of one content end together, it takes the fleet down and with it every
         stream that runs there; refusing it after the third crash leaves the others to all callers.
         """
-        hold = self._guard.find_hold(course.content)
+        hold = self._guard.find_hold(progress.content)
         if hold is None:
             return None
-        if course.attempts:
+        if progress.attempts:
             return hold
-        course.on_trial = course.on_trial or await self._guard.claim_trial(hold)
-        return None if course.on_trial else hold
+        progress.on_trial = progress.on_trial or await self._guard.claim_trial(hold)
+        return None if progress.on_trial else hold
 
-    def _hold_back(self, course: Course, hold: Hold) -> Outcome:
+    def _hold_back(self, progress: RequestProgress, hold: Hold) -> Outcome:
         """End a request whose content is held back; it is told when a trial is due."""
         self._guard.count_held_back(hold)
         retry_after = self._guard.measure_return(hold)
         note(
             _LOG,
             "request held back",
-            request=course.request.request_id,
-            content=course.content,
+            request=progress.request.request_id,
+            content=progress.content,
             crashes=hold.count,
             age_ms=round(hold.age * 1000),
             source=hold.source.value,
-            attempts=course.attempts,
+            attempts=progress.attempts,
             retry_after=round(retry_after, 2),
         )
         reason = f"{hold.count} endpoints fell under this request"
-        if course.may_have_run or course.pump.begun:
-            return Unknown("hold", reason, course.peer)
+        if progress.may_have_run or progress.pump.begun:
+            return Unknown("hold", reason, progress.peer)
         return NotRun("hold", reason, retry_after=retry_after)
 
-    async def _place(self, course: Course) -> Placed | Refused:
-        if course.left < _LAST_LEFT:
+    async def _place(self, progress: RequestProgress) -> Placed | Refused:
+        if progress.left < _LAST_LEFT:
             return Refused("no time left", 0)
         # An endpoint that failed used up the aim; the next gets one of its own, since an answer
         # that comes late is better than a refusal while endpoints have room.
-        untried = course.attempts == 0 and course.not_sent == 0
-        since = course.request.arrived if untried else read_clock()
-        ask = build_ask(course, since)
+        untried = progress.attempts == 0 and progress.not_sent == 0
+        since = progress.request.arrived if untried else read_clock()
+        ask = build_ask(progress, since)
         while True:
-            placed = await self._gate.place(ask, course.tried)
-            if isinstance(placed, Refused) or await self._take_grants(placed.states, course.rank):
+            placed = await self._gate.place(ask, progress.tried)
+            if isinstance(placed, Refused) or await self._take_grants(placed.states, progress.rank):
                 return placed
 
-    async def _attempt(self, course: Course, placed: Placed, sink: AnswerSink) -> Outcome | None:
+    async def _attempt(
+        self, progress: RequestProgress, placed: Placed, sink: AnswerSink
+    ) -> Outcome | None:
         """Send once; ``None`` means that another attempt may follow."""
         state = placed.state
         state.note_sent(read_clock())
         state.take_kept()
-        tokens = round(course.request.prompt_tokens)
-        course.share = InProgress(unread=1, unread_tokens=tokens)
-        state.change(course.share)
+        tokens = round(progress.request.prompt_tokens)
+        progress.share = InProgress(unread=1, unread_tokens=tokens)
+        state.change(progress.share)
         for stage in placed.chain[1:]:
             stage.state.later_parts += 1
-        course.peer = state.endpoint.agent_id
-        course.prediction = placed.prediction
-        begin_limit = self._gate.measure_begin_limit(state, course.service)
-        course.begin_by = read_clock() + begin_limit - BEGIN_MARGIN_SECONDS
+        progress.peer = state.endpoint.agent_id
+        progress.prediction = placed.prediction
+        begin_limit = self._gate.measure_begin_limit(state, progress.service)
+        progress.begin_by = read_clock() + begin_limit - BEGIN_MARGIN_SECONDS
         revision = self.table.revision if self.table else 0
         rate_limit = self._endpoints.find_limit(state)
-        course.limit_known = rate_limit is not None
-        log_attempt(course, placed, revision, self._proof.age, rate_limit)
+        progress.limit_known = rate_limit is not None
+        log_attempt(progress, placed, revision, self._proof.age, rate_limit)
         try:
-            with self._falls.run(placed.states, course.content) as started:
-                course.sent_at = started
-                result = await self._open_within(course, placed)
+            with self._falls.run(placed.states, progress.content) as started:
+                progress.sent_at = started
+                result = await self._open_within(progress, placed)
                 if not isinstance(result, NotSent | Rejected | Lost):
-                    return await self._take_reply(course, placed, result, sink, started)
+                    return await self._take_reply(progress, placed, result, sink, started)
         finally:
-            state.change(NOTHING - course.share)
+            state.change(NOTHING - progress.share)
             for stage in placed.chain[1:]:
                 stage.state.later_parts -= 1
             self._endpoints.notify()
@@ -267,23 +269,23 @@
         note(
             _LOG,
             "attempt failed",
-            request=course.request.request_id,
-            endpoint=course.peer,
+            request=progress.request.request_id,
+            endpoint=progress.peer,
             result=type(result).__name__,
             reason=result.reason,
             ms=round((read_clock() - started) * 1000),
         )
         at_fault = self._find_at_fault(state, result)
-        self._note_losses(course, placed, result, at_fault)
-        course.tried.update(each.endpoint.agent_id for each in at_fault)
+        self._note_losses(progress, placed, result, at_fault)
+        progress.tried.update(each.endpoint.agent_id for each in at_fault)
         if isinstance(result, NotSent):
-            return self._after_not_sent(course, state, result)
-        course.attempts += 1
+            return self._after_not_sent(progress, state, result)
+        progress.attempts += 1
         if isinstance(result, Rejected):
-            return self._after_rejected(course, state, result, at_fault)
+            return self._after_rejected(progress, state, result, at_fault)
         if result.at_fault:
             self._endpoints.record_failure(state, read_clock())
-        return self._after_lost(course, "send", result.reason)
+        return self._after_lost(progress, "send", result.reason)
 
     def _find_at_fault(
         self, state: EndpointState, result: NotSent | Rejected | Lost
@@ -298,7 +300,7 @@
 
     def _note_losses(
         self,
-        course: Course,
+        progress: RequestProgress,
         placed: Placed,
         result: NotSent | Rejected | Lost,
         at_fault: Sequence[EndpointState],
@@ -308,67 +310,69 @@
         In a chain the first engine answers for one that fell behind it.
         """
         if isinstance(result, Lost) and result.at_fault:
-            self._look_at(course, placed, silent=result.silent)
+            self._look_at(progress, placed, silent=result.silent)
         elif isinstance(result, Rejected):
             for each in at_fault:
                 if each is not placed.state:
-                    self._falls.note_loss(each, course.content, course.sent_at, silent=True)
+                    self._falls.note_loss(each, progress.content, progress.sent_at, silent=True)
 
-    def _look_at(self, course: Course, placed: Placed, *, silent: bool) -> None:
+    def _look_at(self, progress: RequestProgress, placed: Placed, *, silent: bool) -> None:
         for state in placed.states:
-            self._falls.note_loss(state, course.content, course.sent_at, silent=silent)
+            self._falls.note_loss(state, progress.content, progress.sent_at, silent=silent)
 
     async def _open_within(
-        self, course: Course, placed: Placed
+        self, progress: RequestProgress, placed: Placed
     ) -> Reply | NotSent | Rejected | Lost:
-        left = course.left
+        left = progress.left
         attempt = Attempt(
-            request=course.request,
+            request=progress.request,
             endpoint=placed.state.endpoint,
             left=left,
-            organisation=course.organisation,
+            organisation=progress.organisation,
             version=placed.version,
-            last_event=course.pump.last,
+            last_event=progress.pump.last,
             chain=placed.chain,
-            urgency=rank_urgency(course.rank, late=course.spent > 0.0, begun=course.pump.begun),
+            urgency=rank_urgency(
+                progress.rank, late=progress.spent > 0.0, begun=progress.pump.begun
+            ),
         )
         try:
-            async with asyncio.timeout(self._silence_limit(course, left)):
+            async with asyncio.timeout(self._silence_limit(progress, left)):
                 return await self._open(attempt)
         except TimeoutError:
-            if read_clock() >= course.begin_by:
+            if read_clock() >= progress.begin_by:
                 # Given up here, ahead of a version's deadline: the endpoint did nothing wrong.
                 # Put down to it, every engine was kept out for 1.5 s after each swap.
                 return Lost("not begun before the version is due", at_fault=False)
             return Lost("no answer in time", silent=True)
 
-    def _silence_limit(self, course: Course, left: float) -> float:
+    def _silence_limit(self, progress: RequestProgress, left: float) -> float:
         """Return how long an endpoint may stay silent before it is given up."""
-        if not course.pump.begun:
+        if not progress.pump.begun:
             # A request that waits at a slow endpoint would begin on a version past its deadline;
             # given up before, its connection closes and the endpoint drops it.
-            left = max(0.0, min(left, course.begin_by - read_clock()))
-        if not self._may_repeat(course, course.attempts + 1):
+            left = max(0.0, min(left, progress.begin_by - read_clock()))
+        if not self._may_repeat(progress, progress.attempts + 1):
             return left
-        return min(left, max(course.rule.aim * _SILENCE_AIMS, left * _SILENCE_SHARE))
+        return min(left, max(progress.rule.aim * _SILENCE_AIMS, left * _SILENCE_SHARE))
 
-    def _may_repeat(self, course: Course, attempts: int) -> bool:
-        allowed = course.rule.idempotent and not course.on_trial
-        return allowed and attempts < course.rule.max_attempts
+    def _may_repeat(self, progress: RequestProgress, attempts: int) -> bool:
+        allowed = progress.rule.idempotent and not progress.on_trial
+        return allowed and attempts < progress.rule.max_attempts
 
     def _after_not_sent(
-        self, course: Course, state: EndpointState, result: NotSent
+        self, progress: RequestProgress, state: EndpointState, result: NotSent
     ) -> Outcome | None:
         self._endpoints.record_failure(state, read_clock())
         self._falls.note_unreachable(state)
-        course.not_sent += 1
-        if course.not_sent >= _NOT_SENT_LIMIT:
-            return self._give_up(course, "connect", Refused(result.reason, 1))
+        progress.not_sent += 1
+        if progress.not_sent >= _NOT_SENT_LIMIT:
+            return self._give_up(progress, "connect", Refused(result.reason, 1))
         return None
 
     def _after_rejected(
         self,
-        course: Course,
+        progress: RequestProgress,
         state: EndpointState,
         result: Rejected,
         at_fault: Sequence[EndpointState],
@@ -382,39 +386,39 @@
             self._endpoints.record_full(each, now)
             if result.mistaken:
                 self._endpoints.record_failure(each, now)
-        allowed = course.attempts < course.rule.max_attempts and not course.on_trial
-        if allowed and self._budget.spend(course.service.name, now):
+        allowed = progress.attempts < progress.rule.max_attempts and not progress.on_trial
+        if allowed and self._budget.spend(progress.service.name, now):
             return None
-        return self._give_up(course, "endpoint", Refused(result.reason, 1))
+        return self._give_up(progress, "endpoint", Refused(result.reason, 1))
 
-    def _after_lost(self, course: Course, step: str, reason: str) -> Outcome | None:
-        course.may_have_run = True
-        if self._may_repeat(course, course.attempts) and course.left > _LAST_LEFT:
-            if self._budget.spend(course.service.name, read_clock()):
+    def _after_lost(self, progress: RequestProgress, step: str, reason: str) -> Outcome | None:
+        progress.may_have_run = True
+        if self._may_repeat(progress, progress.attempts) and progress.left > _LAST_LEFT:
+            if self._budget.spend(progress.service.name, read_clock()):
                 return None
             reason = f"{reason}; no second try left in the budget"
-        return Unknown(step, reason, course.peer)
+        return Unknown(step, reason, progress.peer)
 
-    def _give_up(self, course: Course, step: str, refused: Refused) -> Outcome:
+    def _give_up(self, progress: RequestProgress, step: str, refused: Refused) -> Outcome:
         """End a request that nobody runs; say "not run" only if that is certain."""
-        if course.may_have_run or course.pump.begun:
-            return Unknown(step, refused.reason, course.peer)
-        left = max(0.0, course.left)
+        if progress.may_have_run or progress.pump.begun:
+            return Unknown(step, refused.reason, progress.peer)
+        left = max(0.0, progress.left)
         if refused.turn is not None:
             RATE_LIMITED.inc()
             turn = refused.turn
             retry_after = pick_limited_return(
                 turn.wait, turn.rate, turn.waiting, left, self._random
             )
-        elif course.attempts or course.not_sent:
+        elif progress.attempts or progress.not_sent:
             retry_after = _CONNECT_RETRY_SECONDS
         else:
             retry_after = pick_return(left, refused.candidates, self._random)
-        return NotRun(step, refused.reason, course.peer, retry_after=retry_after)
+        return NotRun(step, refused.reason, progress.peer, retry_after=retry_after)
 
     async def _take_reply(
         self,
-        course: Course,
+        progress: RequestProgress,
         placed: Placed,
         reply: Reply,
         sink: AnswerSink,
@@ -422,31 +426,31 @@
     ) -> Outcome | None:
         """Pass an answer on, or decide that it is none."""
         state = placed.state
-        course.attempts += 1
+        progress.attempts += 1
         now = read_clock()
         self._endpoints.record_header(state, reply.load, now)
         if reply.named_limit is not None or (reply.genuine and reply.status < 500):
-            self._endpoints.record_limit(state, reply.named_limit, limit_known=course.limit_known)
+            self._endpoints.record_limit(state, reply.named_limit, limit_known=progress.limit_known)
         try:
             if not reply.genuine:
-                return self._drop_reply(course, placed, "answer is not this request's")
+                return self._drop_reply(progress, placed, "answer is not this request's")
             if reply.status >= 500 and placed.chain:
-                self._look_at(course, placed, silent=True)  # it may answer for one behind it
-            failed = reply.status >= 500 and self._may_repeat(course, course.attempts)
-            if failed and self._budget.spend(course.service.name, now):
+                self._look_at(progress, placed, silent=True)  # it may answer for one behind it
+            failed = reply.status >= 500 and self._may_repeat(progress, progress.attempts)
+            if failed and self._budget.spend(progress.service.name, now):
                 ATTEMPTS.labels("failed").inc()
-                course.tried.add(state.endpoint.agent_id)
-                course.may_have_run = True
+                progress.tried.add(state.endpoint.agent_id)
+                progress.may_have_run = True
                 await self._drain(reply)
                 return None
             goes_on = reply.is_stream and reply.status < 300
-            if course.pump.begun and not goes_on:
+            if progress.pump.begun and not goes_on:
                 # A failure sent behind events of another engine would be bytes of no answer.
                 reason = f"status {reply.status} behind a begun stream"
-                return self._drop_reply(course, placed, reason)
+                return self._drop_reply(progress, placed, reason)
             if goes_on:
-                return await self._relay_stream(course, placed, reply, sink)
-            return await self._relay_whole(course, placed, reply, sink, started)
+                return await self._relay_stream(progress, placed, reply, sink)
+            return await self._relay_whole(progress, placed, reply, sink, started)
         finally:
             await reply.close(reusable=False)
 
@@ -467,23 +471,23 @@
             return
 
     def _drop_reply(
-        self, course: Course, placed: Placed, reason: str, *, silent: bool = False
+        self, progress: RequestProgress, placed: Placed, reason: str, *, silent: bool = False
     ) -> Outcome | None:
         ATTEMPTS.labels("broken").inc()
         note(
             _LOG,
             "answer dropped",
-            request=course.request.request_id,
-            endpoint=course.peer,
+            request=progress.request.request_id,
+            endpoint=progress.peer,
             reason=reason,
         )
-        course.tried.add(placed.state.endpoint.agent_id)
-        self._look_at(course, placed, silent=silent)
-        return self._after_lost(course, "read", reason)
+        progress.tried.add(placed.state.endpoint.agent_id)
+        self._look_at(progress, placed, silent=silent)
+        return self._after_lost(progress, "read", reason)
 
     async def _relay_whole(
         self,
-        course: Course,
+        progress: RequestProgress,
         placed: Placed,
         reply: Reply,
         sink: AnswerSink,
@@ -491,68 +495,68 @@
     ) -> Outcome | None:
         state = placed.state
         try:
-            async with asyncio.timeout(max(0.0, course.left)):
+            async with asyncio.timeout(max(0.0, progress.left)):
                 body = await reply.read_whole()
         except TimeoutError:
-            self._look_at(course, placed, silent=True)
-            return Unknown("read", "deadline passed", course.peer)
+            self._look_at(progress, placed, silent=True)
+            return Unknown("read", "deadline passed", progress.peer)
         except ReplyBrokenError as error:
-            return self._drop_reply(course, placed, f"answer broke off: {error}")
+            return self._drop_reply(progress, placed, f"answer broke off: {error}")
         await self._keep(state, reply)
         self._endpoints.record_success(state)
         if reply.status < 500:
-            self._guard.record_success(course.content)
-        if course.rule.kind is not RuleKind.STREAM:
-            self._gate.record_work(course.service.name, read_clock() - started)
+            self._guard.record_success(progress.content)
+        if progress.rule.kind is not RuleKind.STREAM:
+            self._gate.record_work(progress.service.name, read_clock() - started)
         ATTEMPTS.labels("answered").inc()
         await sink.send_whole(reply.status, reply.headers, body)
-        return Done(course.peer)
+        return Done(progress.peer)
 
     async def _relay_stream(
-        self, course: Course, placed: Placed, reply: Reply, sink: AnswerSink
+        self, progress: RequestProgress, placed: Placed, reply: Reply, sink: AnswerSink
     ) -> Outcome | None:
         state = placed.state
-        first = not course.pump.begun
+        first = not progress.pump.begun
 
         def note_begun() -> None:
             running = InProgress(running=1)
-            state.change(running - course.share)
-            course.share = running
+            state.change(running - progress.share)
+            progress.share = running
 
         end = await pump_stream(
             reply,
             sink,
-            course.pump,
-            first_limit=self._silence_limit(course, course.left),
-            gap_aim=course.rule.gap_aim,
-            deadline=course.deadline,
-            resumable=self._may_repeat(course, course.attempts),
+            progress.pump,
+            first_limit=self._silence_limit(progress, progress.left),
+            gap_aim=progress.rule.gap_aim,
+            deadline=progress.deadline,
+            resumable=self._may_repeat(progress, progress.attempts),
             on_begin=note_begun,
         )
-        if first and course.pump.begun:
-            FIRST_SECONDS.observe(course.pump.begun_at - course.request.arrived)
-            self._note_first_event(course)
+        if first and progress.pump.begun:
+            FIRST_SECONDS.observe(progress.pump.begun_at - progress.request.arrived)
+            self._note_first_event(progress)
         if end is StreamEnd.COMPLETE:
             await self._keep(state, reply)
             self._endpoints.record_success(state)
-            self._guard.record_success(course.content)
+            self._guard.record_success(progress.content)
             ATTEMPTS.labels("answered").inc()
             await sink.end()
-            return Done(course.peer)
+            return Done(progress.peer)
         if end is StreamEnd.DEADLINE:
-            self._look_at(course, placed, silent=True)
-            return Unknown("stream", "deadline passed", course.peer)
+            self._look_at(progress, placed, silent=True)
+            return Unknown("stream", "deadline passed", progress.peer)
         if end is StreamEnd.STALLED:
             self._endpoints.record_failure(state, read_clock())
         stalled = end is StreamEnd.STALLED
-        return self._drop_reply(course, placed, f"stream {end.value}", silent=stalled)
+        return self._drop_reply(progress, placed, f"stream {end.value}", silent=stalled)
 
-    def _note_first_event(self, course: Course) -> None:
+    def _note_first_event(self, progress: RequestProgress) -> None:
         """Learn from first attempts only; others were late before they were sent."""
-        if not course.spent and course.attempts == 1:
-            seconds = course.pump.begun_at - course.request.arrived
-            in_time = seconds <= course.rule.aim
-            self._gate.record_first_event(course.service.name, in_time=in_time)
+        if not progress.spent and progress.attempts == 1:
+            seconds = progress.pump.begun_at - progress.request.arrived
+            in_time = seconds <= progress.rule.aim
+            self._gate.record_first_event(progress.service.name, in_time=in_time)
 
     async def _refuse(self, outcome: NotRun, sink: AnswerSink) -> None:
         headers: Headers = (("Content-Type", "text/plain"),)
@@ -561,10 +565,10 @@
         body = f"{outcome.step}: {outcome.reason}\n".encode()
         await sink.send_whole(outcome.status, headers, body)
 
-    async def _fail(self, course: Course, outcome: Unknown, sink: AnswerSink) -> None:
-        if course.pump.begun:
+    async def _fail(self, progress: RequestProgress, outcome: Unknown, sink: AnswerSink) -> None:
+        if progress.pump.begun:
             sink.abort()
             return
-        status = 504 if course.left <= 0 else 502
+        status = 504 if progress.left <= 0 else 502
         body = f"{outcome.step}: {outcome.reason}\n".encode()
         await sink.send_whole(status, (("Content-Type", "text/plain"),), body)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -5,9 +5,9 @@
 from prometheus_client import Counter, Histogram
 
 from wrenloft_core import Outcome, note, read_clock
-from wrenloft_routing._course import Course
 from wrenloft_routing._exchange import CallerRequest
 from wrenloft_routing._gate import Placed
+from wrenloft_routing._request_progress import RequestProgress
 
 _LOG = logging.getLogger(__name__)
 
@@ -33,7 +33,11 @@
 
 
 def log_attempt(
-    course: Course, placed: Placed, revision: int, proof_age: float, rate_limit: float | None
+    progress: RequestProgress,
+    placed: Placed,
+    revision: int,
+    proof_age: float,
+    rate_limit: float | None,
 ) -> None:
     """Log that a request is sent, and what that was decided from.
 
@@ -46,29 +50,31 @@
     note(
         _LOG,
         "attempt",
-        request=course.request.request_id,
-        content=course.content,
-        rule=course.rule.name,
-        endpoint=course.peer,
-        attempt=course.attempts + 1,
+        request=progress.request.request_id,
+        content=progress.content,
+        rule=progress.rule.name,
+        endpoint=progress.peer,
+        attempt=progress.attempts + 1,
         predicted_ms=round(placed.prediction.total * 1000),
         candidates=placed.candidates,
         report_age_ms=round(min(now - state.reported_at, 99.0) * 1000),
         revision=revision,
         proof_age_ms=round(min(proof_age, 99.0) * 1000),
-        left_ms=round(course.left * 1000),
+        left_ms=round(progress.left * 1000),
         version=placed.version,
         rate_limit=rate_limit,
         sent_before=state.count_sent(now - RATE_WINDOW_SECONDS) - 1,
         chain=[each.state.endpoint.agent_id for each in placed.chain],
-        resumed_after=course.pump.last,
+        resumed_after=progress.pump.last,
     )
 
 
-def conclude(request: CallerRequest, kind: str, outcome: Outcome, course: Course | None) -> None:
+def conclude(
+    request: CallerRequest, kind: str, outcome: Outcome, progress: RequestProgress | None
+) -> None:
     """Count and log how a request ended.
 
-    :param course: ``None`` if it was not admitted.
+    :param progress: ``None`` if it was not admitted.
     """
     seconds = read_clock() - request.arrived
     name = type(outcome).__name__
@@ -78,23 +84,23 @@
         _LOG,
         "request ended",
         request=request.request_id,
-        content=course.content if course else "",
+        content=progress.content if progress else "",
         outcome=name,
         step=getattr(outcome, "step", ""),
         reason=getattr(outcome, "reason", ""),
         endpoint=getattr(outcome, "peer", ""),
         status=getattr(outcome, "status", None),
         retry_after=getattr(outcome, "retry_after", None),
-        attempts=course.attempts if course else 0,
-        spent_ms=round(course.spent * 1000) if course else 0,
-        predicted_ms=round(course.prediction.total * 1000) if course else 0,
-        first_ms=_measure_first(course),
+        attempts=progress.attempts if progress else 0,
+        spent_ms=round(progress.spent * 1000) if progress else 0,
+        predicted_ms=round(progress.prediction.total * 1000) if progress else 0,
+        first_ms=_measure_first(progress),
         ms=round(seconds * 1000),
     )
 
 
-def _measure_first(course: Course | None) -> int | None:
+def _measure_first(progress: RequestProgress | None) -> int | None:
     """Return the milliseconds from arrival to a stream's first event, if it had one."""
-    if course is None or not course.pump.begun:
+    if progress is None or not progress.pump.begun:
         return None
-    return round((course.pump.begun_at - course.request.arrived) * 1000)
+    return round((progress.pump.begun_at - progress.request.arrived) * 1000)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_course.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(slots=True)
-class Course:
+class RequestProgress:
     """What has happened to one request so far."""
 
     request: CallerRequest
@@ -42,18 +42,18 @@
         return self.deadline - read_clock()
 
 
-def build_ask(course: Course, since: float) -> Ask:
+def build_ask(progress: RequestProgress, since: float) -> Ask:
     """Return what the request asks of the gate.
 
     :param since: when it began to wait.
     """
     return Ask(
-        service=course.service,
-        rank=course.rank,
-        prompt_tokens=course.request.prompt_tokens,
+        service=progress.service,
+        rank=progress.rank,
+        prompt_tokens=progress.request.prompt_tokens,
         since=since,
-        spent=course.spent,
-        aim=course.rule.aim,
-        deadline=course.deadline,
-        begun=course.pump.begun,
+        spent=progress.spent,
+        aim=progress.rule.aim,
+        deadline=progress.deadline,
+        begun=progress.pump.begun,
     )
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -64,7 +64,7 @@
     Target,
     identify_content,
 )
-from wrenloft_routing._course import Course
+from wrenloft_routing._request_progress import RequestProgress
 
 PLACE = PlaceName("p")
 REGION = RegionName("r")
@@ -606,10 +606,12 @@
         bench = Bench()
         rule = TABLE.rules[4]
         service = TABLE.services[ENGINES]
-        course = Course(cast(CallerRequest, None), rule, service, None, 1, 0.0, ContentId(""))
-        course.pump.begun = True
+        progress = RequestProgress(
+            cast(CallerRequest, None), rule, service, None, 1, 0.0, ContentId("")
+        )
+        progress.pump.begun = True
         refused = Refused("no room", 1)
-        assert isinstance(bench.forwarder._give_up(course, "place", refused), Unknown)
+        assert isinstance(bench.forwarder._give_up(progress, "place", refused), Unknown)
 
     async def test_stream_that_may_not_resume_is_aborted(self) -> None:
         """The caller sees a broken connection, and nothing is sent a second time."""
