--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -433,7 +433,7 @@
     ),
     Safeguard(
         "a follower is not told its own requests",
-        f"{ROUTING}/_gathered.py",
+        f"{ROUTING}/_view.py",
         "sums[agent_id] = sums.get(agent_id, NOTHING) - load",
         "sums[agent_id] = sums.get(agent_id, NOTHING)",
         f"{ROUTING_TESTS}/test_zone.py::TestFrameWriter"
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -46,7 +46,6 @@
     encode_frame,
 )
 from wrenloft_routing._gate import Ask, Gate, Placed, Refused
-from wrenloft_routing._gathered import FrameWriter, Gathered
 from wrenloft_routing._grants import GrantRoutes, Grants
 from wrenloft_routing._limit_ledger import LimitInForce, LimitLedger, LimitNews
 from wrenloft_routing._limit_routes import LimitRoutes
@@ -87,6 +86,7 @@
     pick_target,
 )
 from wrenloft_routing._zone import ZoneLink
+from wrenloft_routing._zone_view import FrameWriter, ZoneView
 
 __all__ = [
     "KEPT_SECONDS",
@@ -126,7 +126,6 @@
     "FrameScope",
     "FrameWriter",
     "Gate",
-    "Gathered",
     "Grant",
     "GrantRequest",
     "GrantRoutes",
@@ -177,6 +176,7 @@
     "Target",
     "ToldCrash",
     "ZoneLink",
+    "ZoneView",
     "decode_crashes",
     "decode_frame",
     "decode_report",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frame_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frame_streams.py
@@ -9,9 +9,9 @@
 from wrenloft_core import NodeId, Signal, note, read_clock
 from wrenloft_policy import measure_frame_interval
 from wrenloft_routing._frames import Frame, FrameScope, decode_frame, encode_frame
-from wrenloft_routing._gathered import FrameWriter, Gathered
 from wrenloft_routing._metrics import MESSAGES
 from wrenloft_routing._readings import ReadingMirror, SharedReading
+from wrenloft_routing._zone_view import FrameWriter, ZoneView
 
 _LOG = logging.getLogger(__name__)
 
@@ -37,16 +37,16 @@
 
 
 class FrameRoutes:
-    """Tells others what this node has gathered, as their relay.
+    """Tells others what this node has view, as their relay.
 
     :param news: fired whenever the store's content has changed.
 
     ``followers`` counts who listens; while anybody does, this node gathers.
     """
 
-    def __init__(self, gathered: Gathered, readings: list[SharedReading], news: Signal) -> None:
+    def __init__(self, view: ZoneView, readings: list[SharedReading], news: Signal) -> None:
         self._news = news
-        self._gathered = gathered
+        self._view = view
         self._readings = readings
         self._counts = dict.fromkeys(FrameScope, 0)
 
@@ -80,7 +80,7 @@
     async def _write_frames(
         self, response: web.StreamResponse, scope: FrameScope, follower: NodeId
     ) -> None:
-        writer = FrameWriter(self._gathered, self._readings, scope, follower)
+        writer = FrameWriter(self._view, self._readings, scope, follower)
         if scope is FrameScope.READINGS:
             await self._write_readings(response, writer)
         told_at = float("-inf")
--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -24,11 +24,11 @@
     encode_loads,
     encode_queues,
 )
-from wrenloft_routing._gathered import Gathered
 from wrenloft_routing._limit_ledger import LimitNews
 from wrenloft_routing._loads import NOTHING, InProgress, LoadUpdate, QueueLength
 from wrenloft_routing._members import Members, NodeState
 from wrenloft_routing._metrics import MESSAGES
+from wrenloft_routing._zone_view import ZoneView
 
 _LOG = logging.getLogger(__name__)
 
@@ -162,8 +162,8 @@
 class NodeFollower:
     """Hears the entry nodes of a zone, for its relay."""
 
-    def __init__(self, gathered: Gathered, members: Members, session: ClientSession) -> None:
-        self._gathered = gathered
+    def __init__(self, view: ZoneView, members: Members, session: ClientSession) -> None:
+        self._view = view
         self._members = members
         self._session = session
 
@@ -182,10 +182,10 @@
                 if member is not None and member.state is not NodeState.LOST:
                     note(_LOG, "node lost", node=node.node_id, reason=reason)
                 self._members.take_states({node.node_id: NodeState.LOST})
-                self._gathered.forget(node.node_id)
+                self._view.forget(node.node_id)
                 await asyncio.sleep(RECONNECT_SECONDS)
         finally:
-            self._gathered.forget(node.node_id)
+            self._view.forget(node.node_id)
 
     async def _read_updates(self, node: FollowedNode) -> tuple[bool, str]:
         """Read one connection to its end; return whether anything came, and why it ended."""
@@ -197,7 +197,7 @@
             async with self._session.get(url, params=query, timeout=timeout) as response:
                 response.raise_for_status()
                 # The other side begins anew with all that it has in progress.
-                self._gathered.forget(node.node_id)
+                self._view.forget(node.node_id)
                 async for line in response.content:
                     self._take(node, decode_update(line))
                     heard = True
@@ -209,8 +209,8 @@
 
     def _take(self, node: FollowedNode, update: NodeUpdate) -> None:
         MESSAGES.labels("load", "received").inc()
-        self._gathered.record_node(node.node_id, update.load)
-        self._gathered.crashes.merge(update.crashes, CrashSource.PEER)
-        self._gathered.limits.merge(update.limits)
+        self._view.record_node(node.node_id, update.load)
+        self._view.crashes.merge(update.crashes, CrashSource.PEER)
+        self._view.limits.merge(update.limits)
         state = NodeState.READY if update.ready else NodeState.UNREADY
         self._members.take_states({node.node_id: state})
--- a/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
@@ -11,8 +11,8 @@
 from wrenloft_policy import LayerSpan
 from wrenloft_routing._endpoints import Endpoints, EngineReport
 from wrenloft_routing._followers import FollowedAgent
-from wrenloft_routing._gathered import Gathered
 from wrenloft_routing._metrics import MESSAGES
+from wrenloft_routing._zone_view import ZoneView
 
 _LOG = logging.getLogger(__name__)
 
@@ -30,10 +30,10 @@
     """
 
     def __init__(
-        self, endpoints: Endpoints, gathered: Gathered, session: ClientSession, internal: str
+        self, endpoints: Endpoints, view: ZoneView, session: ClientSession, internal: str
     ) -> None:
         self._endpoints = endpoints
-        self._gathered = gathered
+        self._view = view
         self._session = session
         self._internal = internal
 
@@ -46,10 +46,10 @@
                 heard, reason = await self._read_reports(agent, known=was_heard)
                 if was_heard and not heard:
                     note(_LOG, "agent lost", agent=agent.address, reason=reason)
-                self._gathered.forget_report(agent.engine)
+                self._view.forget_report(agent.engine)
                 await asyncio.sleep(_RECONNECT_SECONDS)
         finally:
-            self._gathered.forget_report(agent.engine)
+            self._view.forget_report(agent.engine)
 
     async def _read_reports(self, agent: FollowedAgent, *, known: bool) -> tuple[bool, str]:
         """Read one connection to its end; return whether anything came, and why it ended."""
@@ -75,7 +75,7 @@
 
     def _take(self, agent: FollowedAgent, report: EngineReport) -> None:
         MESSAGES.labels("report", "received").inc()
-        self._gathered.record_report(agent.engine, report, agent.place)
+        self._view.record_report(agent.engine, report, agent.place)
         self._endpoints.record_report(agent.engine, report, read_clock())
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
@@ -14,12 +14,12 @@
 from wrenloft_routing._followers import FollowedAgent, FollowedNode, Followers
 from wrenloft_routing._frame_streams import FrameRoutes, read_frames
 from wrenloft_routing._frames import Frame, FrameScope
-from wrenloft_routing._gathered import Gathered
 from wrenloft_routing._load_streams import NodeFollower
 from wrenloft_routing._loads import LoadUpdate, PeerLoads
 from wrenloft_routing._members import Member, Members, NodeState
 from wrenloft_routing._readings import ReaderRole, ReadingMirror, SharedReading
 from wrenloft_routing._report_streams import ReportFollower
+from wrenloft_routing._zone_view import ZoneView
 
 _LOG = logging.getLogger(__name__)
 
@@ -51,7 +51,7 @@
         self,
         endpoints: Endpoints,
         members: Members,
-        gathered: Gathered,
+        view: ZoneView,
         session: ClientSession,
         regions: Mapping[str, str],
         is_ready: Callable[[], bool],
@@ -59,7 +59,7 @@
         self._is_ready = is_ready
         self._endpoints = endpoints
         self._members = members
-        self._gathered = gathered
+        self._view = view
         self._readings: dict[str, SharedReading] = {}
         self._reported: set[str] = set()
         self._asker = ""
@@ -90,9 +90,9 @@
 
     async def run(self, stack: AsyncExitStack) -> None:
         """Follow and gather until cancelled; what is opened closes with the stack."""
-        nodes = Followers(NodeFollower(self._gathered, self._members, self._session).follow)
+        nodes = Followers(NodeFollower(self._view, self._members, self._session).follow)
         internal = self._members.own.internal
-        reports = ReportFollower(self._endpoints, self._gathered, self._session, internal)
+        reports = ReportFollower(self._endpoints, self._view, self._session, internal)
         agents = Followers(reports.follow)
         zones = Followers(self._follow_zone)
         for each in (nodes, agents, zones):
@@ -107,7 +107,7 @@
             if len(self._members) == 1 and self.role is ReaderRole.STARTING:
                 await self._follow_asker()
             elif relay is None or relay is self._members.own:
-                self._take_role(ReaderRole.RELAYING, self._gathered.heard)
+                self._take_role(ReaderRole.RELAYING, self._view.heard)
                 await asyncio.sleep(LOOK_SECONDS)
             else:
                 await self._follow_relay(relay)
@@ -125,7 +125,7 @@
     def start_alone(self) -> None:
         """Relay until other nodes are known: the list has been read and names nobody else."""
         if self.role is ReaderRole.STARTING and len(self._members) == 1:
-            self._take_role(ReaderRole.RELAYING, self._gathered.heard)
+            self._take_role(ReaderRole.RELAYING, self._view.heard)
 
     def _take_role(self, role: ReaderRole, loads: PeerLoads) -> None:
         if role is not self.role:
@@ -182,8 +182,8 @@
         states = dict(frame.states or {})
         states.pop(self._members.own.node_id, None)
         self._members.take_states(states)
-        self._gathered.crashes.merge(frame.crashes or {}, CrashSource.PEER)
-        self._gathered.limits.merge(frame.limits or {})
+        self._view.crashes.merge(frame.crashes or {}, CrashSource.PEER)
+        self._view.limits.merge(frame.limits or {})
         self._take_readings(frame, mirror)
 
     def _take_reports(self, frame: Frame, heard: Iterable[str], now: float) -> None:
@@ -209,7 +209,7 @@
             own = self._members.own
             own.state = NodeState.READY if self._is_ready() else NodeState.UNREADY
             gathers = self._must_gather()
-            self._gathered.drop_silent()
+            self._view.drop_silent()
             nodes.update(self._list_near() if gathers else ())
             agents.update(self._list_agents() if gathers else ())
             zones.update(self._list_far_places() if gathers else ())
@@ -251,7 +251,7 @@
                     nonlocal heard
                     if not heard:
                         heard = True
-                        self._gathered.forget(source)
+                        self._view.forget(source)
                         self._members.record_relay(by, heard=True)
                         note(_LOG, "zone heard", place=place, relay=by.node_id)
                     self._take_zone_frame(frame, mirror, place)
@@ -265,18 +265,18 @@
                     self._members.take_states({relay.node_id: NodeState.LOST})
                 note(_LOG, "zone lost", place=place, relay=relay.node_id, reason=reason)
         finally:
-            self._gathered.forget(source)
+            self._view.forget(source)
 
     def _take_zone_frame(self, frame: Frame, mirror: ReadingMirror, place: PlaceName) -> None:
         now = read_clock()
         update = LoadUpdate(frame.loads or {}, frame.queues or {}, frame.heard)
-        self._gathered.record_zone(place, update)
+        self._view.record_zone(place, update)
         for address, report in (frame.reports or {}).items():
-            self._gathered.record_report(address, report, place)
-        heard_engines = self._gathered.refresh_reports(place, frame.lost)
+            self._view.record_report(address, report, place)
+        heard_engines = self._view.refresh_reports(place, frame.lost)
         if self.role is ReaderRole.RELAYING:
             self._take_reports(frame, heard_engines, now)
         self._members.take_states(frame.states or {})
-        self._gathered.crashes.merge(frame.crashes or {}, CrashSource.PEER)
-        self._gathered.limits.merge(frame.limits or {})
+        self._view.crashes.merge(frame.crashes or {}, CrashSource.PEER)
+        self._view.limits.merge(frame.limits or {})
         self._take_readings(frame, mirror)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gathered.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GatheredReport:
+class HeardReport:
     """An engine's report as its agent told it.
 
     :param place: the zone whose relay hears that agent.
@@ -31,7 +31,7 @@
     heard_at: float
 
 
-class Gathered:
+class ZoneView:
     """All that a relay knows.
 
     :param list_queues: returns what waits at this node for each service.
@@ -52,7 +52,7 @@
         self._list_queues = list_queues
         self._nodes = PeerLoads()
         self.heard = PeerLoads()
-        self.reports: dict[str, GatheredReport] = {}
+        self.reports: dict[str, HeardReport] = {}
         self._sums: dict[FrameScope, dict[AgentId, InProgress]] = {}
         self._summed_at = float("-inf")
 
@@ -72,7 +72,7 @@
 
     def record_report(self, address: str, report: EngineReport, place: PlaceName) -> None:
         """Take an engine's report."""
-        self.reports[address] = GatheredReport(report, place, read_clock())
+        self.reports[address] = HeardReport(report, place, read_clock())
 
     def forget_report(self, address: str) -> None:
         """Take that an engine's agent is no longer heard."""
@@ -167,12 +167,12 @@
 
     def __init__(
         self,
-        gathered: Gathered,
+        view: ZoneView,
         readings: Iterable[SharedReading],
         scope: FrameScope,
         follower: NodeId,
     ) -> None:
-        self._gathered = gathered
+        self._view = view
         self._readings = tuple(readings)
         self._scope = scope
         self._follower = follower
@@ -194,22 +194,22 @@
         if self._scope is FrameScope.READINGS:
             return Frame(now, readings=readings), False
         loads = self._compare_loads()
-        queues = self._gathered.sum_queues(self._scope, self._follower)
+        queues = self._view.sum_queues(self._scope, self._follower)
         reports, lost = self._compare_reports(now)
         states = self._compare_states()
-        crashes = self._gathered.crashes.list_changes(self._crash_revision)
-        self._crash_revision = self._gathered.crashes.revision
-        limits = self._gathered.limits.list_changes(self._limit_revision)
-        self._limit_revision = self._gathered.limits.revision
+        crashes = self._view.crashes.list_changes(self._crash_revision)
+        self._crash_revision = self._view.crashes.revision
+        limits = self._view.limits.list_changes(self._limit_revision)
+        self._limit_revision = self._view.limits.revision
         changed = bool(loads or reports or lost or states or readings or crashes or limits)
         changed = changed or queues != self._queues
         self._queues = queues
-        heard = self._gathered.count_heard(self._scope, self._follower)
+        heard = self._view.count_heard(self._scope, self._follower)
         frame = Frame(now, heard, loads, queues, reports, lost, states, readings, crashes, limits)
         return frame, changed
 
     def _compare_loads(self) -> dict[AgentId, InProgress]:
-        current = self._gathered.sum_loads(self._scope, self._follower)
+        current = self._view.sum_loads(self._scope, self._follower)
         changed = {
             agent_id: load
             for agent_id, load in current.items()
@@ -221,7 +221,7 @@
         return changed
 
     def _compare_reports(self, now: float) -> tuple[dict[str, EngineReport], tuple[str, ...]]:
-        current = self._gathered.list_reports(self._scope)
+        current = self._view.list_reports(self._scope)
         whole = now - self._load_parts_at > LOAD_PART_SECONDS
         if whole:
             self._load_parts_at = now
@@ -239,7 +239,7 @@
         return changed, lost
 
     def _compare_states(self) -> dict[NodeId, NodeState]:
-        current = self._gathered.list_states(self._scope)
+        current = self._view.list_states(self._scope)
         changed = {
             node_id: state
             for node_id, state in current.items()
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -34,7 +34,6 @@
     FrameRoutes,
     FrameScope,
     FrameWriter,
-    Gathered,
     InProgress,
     Item,
     LoadRoutes,
@@ -53,6 +52,7 @@
     Taken,
     ToldCrash,
     ZoneLink,
+    ZoneView,
     decode_frame,
     decode_update,
     encode_frame,
@@ -160,18 +160,18 @@
 
     endpoints: Endpoints
     members: Members
-    gathered: Gathered
+    view: ZoneView
     shared: SharedReading
 
     def follow(self, scope: FrameScope, follower: str = "f") -> FrameWriter:
-        return FrameWriter(self.gathered, [self.shared], scope, NodeId(follower))
+        return FrameWriter(self.view, [self.shared], scope, NodeId(follower))
 
 
 @asynccontextmanager
 async def _relay() -> AsyncIterator[_Relay]:
     endpoints = Endpoints(PlaceName("p"), REGION)
     members = Members(Member(NodeId("c"), PlaceName("p"), REGION, "c:80", "c:1"))
-    gathered = Gathered(endpoints, members, dict, CrashLedger())
+    view = ZoneView(endpoints, members, dict, CrashLedger())
 
     async def fetch() -> Reading:
         return Reading((), 1)
@@ -188,7 +188,7 @@
             Random(1),
             Signal(),
         )
-        yield _Relay(endpoints, members, gathered, shared)
+        yield _Relay(endpoints, members, view, shared)
 
 
 class TestFrameWriter:
@@ -201,9 +201,9 @@
         """
         async with _relay() as relay:
             own, other = NodeId("f"), NodeId("g")
-            relay.gathered.record_node(own, LoadUpdate({ENGINE: InProgress(1, 10, 2)}, {}))
-            relay.gathered.record_node(other, LoadUpdate({ENGINE: InProgress(2, 20, 3)}, {}))
-            relay.gathered.record_zone(
+            relay.view.record_node(own, LoadUpdate({ENGINE: InProgress(1, 10, 2)}, {}))
+            relay.view.record_node(other, LoadUpdate({ENGINE: InProgress(2, 20, 3)}, {}))
+            relay.view.record_zone(
                 PlaceName("q"), LoadUpdate({ENGINE: InProgress(0, 0, 4)}, {}, nodes=5)
             )
             frame, _ = relay.follow(FrameScope.FLEET).compose(1.0)
@@ -217,12 +217,12 @@
         async with _relay() as relay:
             writer = relay.follow(FrameScope.FLEET)
             node = NodeId("g")
-            relay.gathered.record_node(node, LoadUpdate({ENGINE: InProgress(1, 10, 0)}, {}))
+            relay.view.record_node(node, LoadUpdate({ENGINE: InProgress(1, 10, 0)}, {}))
             assert writer.compose(1.0)[0].loads
             frame, changed = writer.compose(2.0)
             assert (frame.loads, changed) == ({}, False)
-            relay.gathered.forget(node)
-            relay.gathered._summed_at = 0.0
+            relay.view.forget(node)
+            relay.view._summed_at = 0.0
             assert writer.compose(3.0)[0].loads == {ENGINE: InProgress()}
 
     async def test_lost_agent_is_told(self) -> None:
@@ -230,9 +230,9 @@
         async with _relay() as relay:
             writer = relay.follow(FrameScope.FLEET)
             report = EngineReport(1, 0, 2, False, 1.0)
-            relay.gathered.record_report("h:1", report, PlaceName("p"))
+            relay.view.record_report("h:1", report, PlaceName("p"))
             assert writer.compose(1.0)[0].reports == {"h:1": report}
-            relay.gathered.forget_report("h:1")
+            relay.view.forget_report("h:1")
             assert writer.compose(2.0)[0].lost == ("h:1",)
 
     @pytest.mark.parametrize("seed", range(20))
@@ -295,11 +295,11 @@
         own = Member(NodeId(self.name), PlaceName(self.place), REGION, f"{self.name}:80", "")
         self.members = Members(own)
         self.crashes = CrashLedger()
-        self.gathered = Gathered(self.endpoints, self.members, dict, self.crashes)
+        self.view = ZoneView(self.endpoints, self.members, dict, self.crashes)
         self.link = ZoneLink(
-            self.endpoints, self.members, self.gathered, self.session, REGIONS, lambda: True
+            self.endpoints, self.members, self.view, self.session, REGIONS, lambda: True
         )
-        routes = FrameRoutes(self.gathered, [], Signal())
+        routes = FrameRoutes(self.view, [], Signal())
         self.link.attach(routes, [])
         loads = LoadRoutes(
             self.endpoints,
@@ -474,17 +474,17 @@
             relay.members.update(
                 [Member(node.node_id, PlaceName("p"), REGION, "n2:80", node.address)]
             )
-            followers = Followers(NodeFollower(relay.gathered, relay.members, session).follow)
+            followers = Followers(NodeFollower(relay.view, relay.members, session).follow)
             stack.push_async_callback(followers.close)
             followers.update([node])
-            await _wait_for(lambda: relay.gathered.heard.queue_of(SERVICE).fresh == 3)
+            await _wait_for(lambda: relay.view.heard.queue_of(SERVICE).fresh == 3)
             await first.cleanup()
             await _wait_for(lambda: _count(caplog, "node lost") == 1)
             await asyncio.sleep(3 * RECONNECT_SECONDS)
-            assert relay.gathered.heard.queue_of(SERVICE).fresh == 0
+            assert relay.view.heard.queue_of(SERVICE).fresh == 0
             second = await _listen(routes, port)
             stack.push_async_callback(second.cleanup)
-            await _wait_for(lambda: relay.gathered.heard.queue_of(SERVICE).fresh == 3)
+            await _wait_for(lambda: relay.view.heard.queue_of(SERVICE).fresh == 3)
         assert _count(caplog, "node lost") == 1
         judged = [each.fields["state"] for each in caplog.records if hasattr(each, "fields")
                   and each.message == "entry node judged"]  # fmt: skip
