--- a/bench/limits.py
+++ b/bench/limits.py
@@ -12,7 +12,6 @@
 from wrenloft_core import AgentId, IncarnationId, NodeId, PlaceName, RegionName, ServiceName
 from wrenloft_policy import NamedLimit, RateLimit
 from wrenloft_routing import (
-    Ask,
     BackendService,
     Endpoint,
     Endpoints,
@@ -24,6 +23,7 @@
     Member,
     Members,
     NodeState,
+    PlacementRequest,
     encode_frame,
 )
 
@@ -76,7 +76,7 @@
     """Return the microseconds of a look at all endpoints of a service."""
     gate = Gate(endpoints, Random(1), 8.0)
     service = BackendService(SERVICE, 10)
-    ask = Ask(service, 1, 0.0, 0.0, 0.0, 0.5, 6.0)
+    ask = PlacementRequest(service, 1, 0.0, 0.0, 0.0, 0.5, 6.0)
 
     def look() -> None:
         endpoints.touch()
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -45,7 +45,7 @@
     encode_crashes,
     encode_frame,
 )
-from wrenloft_routing._gate import Ask, Gate, Placed, Refused
+from wrenloft_routing._gate import Gate, Placed, PlacementRequest, Refused
 from wrenloft_routing._grants import GrantRoutes, Grants
 from wrenloft_routing._limit_ledger import LimitInForce, LimitLedger, LimitNews
 from wrenloft_routing._limit_routes import LimitRoutes
@@ -93,7 +93,6 @@
     "MESSAGES",
     "Able",
     "AnswerSink",
-    "Ask",
     "Attempt",
     "BackendService",
     "Bounds",
@@ -154,6 +153,7 @@
     "Origin",
     "PeerLoads",
     "Placed",
+    "PlacementRequest",
     "Pump",
     "QueueLength",
     "ReaderRole",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -47,7 +47,7 @@
     conclude,
     log_attempt,
 )
-from wrenloft_routing._request_progress import RequestProgress, build_ask
+from wrenloft_routing._request_progress import RequestProgress, build_placement_request
 from wrenloft_routing._streams import StreamEnd, pump_stream
 from wrenloft_routing._table import RoutingTable, RuleKind, pick_target
 
@@ -228,9 +228,9 @@
         # that comes late is better than a refusal while endpoints have room.
         untried = progress.attempts == 0 and progress.not_sent == 0
         since = progress.request.arrived if untried else read_clock()
-        ask = build_ask(progress, since)
+        wanted = build_placement_request(progress, since)
         while True:
-            placed = await self._gate.place(ask, progress.tried)
+            placed = await self._gate.place(wanted, progress.tried)
             if isinstance(placed, Refused) or await self._take_grants(placed.states, progress.rank):
                 return placed
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Ask:
+class PlacementRequest:
     """A request that wants an endpoint.
 
     :param rank: 0 for the most urgent.
@@ -147,7 +147,7 @@
         self._endpoints = endpoints
         self._random = random
         self._version_seconds = version_seconds
-        self._waiting: dict[ServiceName, list[Ask]] = {}
+        self._waiting: dict[ServiceName, list[PlacementRequest]] = {}
         self._work: dict[ServiceName, float] = {}
         self._aim_shares: dict[ServiceName, float] = {}
         self._wanted: dict[str, list[WantedVersion]] = {}
@@ -199,60 +199,68 @@
         dues = [each.seen_at + self._version_seconds for each in wanted if each.number > version]
         return min(dues, default=float("inf")) - now
 
-    async def place(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused:
+    async def place(
+        self, request: PlacementRequest, tried: Collection[AgentId]
+    ) -> Placed | Refused:
         """Return an endpoint with room, waiting a moment for one if it must."""
-        line = self._waiting.setdefault(ask.service.name, [])
-        line.append(ask)
+        line = self._waiting.setdefault(request.service.name, [])
+        line.append(request)
         try:
             while True:
                 changed = self._endpoints.changed
-                outcome = self._decide(ask, tried)
+                outcome = self._decide(request, tried)
                 if outcome is not None:
                     return outcome
-                await _wait(changed, ask)
+                await _wait(changed, request)
         finally:
-            line.remove(ask)
+            line.remove(request)
 
-    def _decide(self, ask: Ask, tried: Collection[AgentId]) -> Placed | Refused | None:
+    def _decide(
+        self, request: PlacementRequest, tried: Collection[AgentId]
+    ) -> Placed | Refused | None:
         now = read_clock()
-        snapshot = self._look(ask.service, tried, now)
-        choice, verdict = self._weigh(ask, snapshot, now)
+        snapshot = self._look(request.service, tried, now)
+        choice, verdict = self._weigh(request, snapshot, now)
         if verdict is Verdict.SEND and choice is not None:
             chosen = snapshot.find(choice.key)
-            snapshot.count_sent(choice.key, ask.prompt_tokens)
+            snapshot.count_sent(choice.key, request.prompt_tokens)
             # Engines of a chain are told the version as well: one that has just gone on to the
             # next version would otherwise run its layers of that.
-            insisted = self.required_version(ask.service, now) or chosen.chain
+            insisted = self.required_version(request.service, now) or chosen.chain
             version = chosen.version if insisted else None
             candidates = len(snapshot.able)
             return Placed(chosen.state, choice.prediction, candidates, version, chosen.chain)
-        if choice is None and (turn := self._find_turn(ask, snapshot, now)) is not None:
-            return self._decide_turn(ask, turn, snapshot.work, now)
+        if choice is None and (turn := self._find_turn(request, snapshot, now)) is not None:
+            return self._decide_turn(request, turn, snapshot.work, now)
         if verdict is Verdict.REFUSE:
-            known = len(self._endpoints.of_service(ask.service.name))
+            known = len(self._endpoints.of_service(request.service.name))
             if choice is None:
                 return Refused(f"none of {known} endpoints can take it", 0)
-            needed = count_seconds(choice.prediction, ask.service.engine)
+            needed = count_seconds(choice.prediction, request.service.engine)
             return Refused(f"best of {len(snapshot.able)} needs {needed:.3f} s", len(snapshot.able))
         return None
 
-    def _find_turn(self, ask: Ask, snapshot: Snapshot, now: float) -> LimitedTurn | None:
+    def _find_turn(
+        self, request: PlacementRequest, snapshot: Snapshot, now: float
+    ) -> LimitedTurn | None:
         """Return what a request can expect if nothing but rate limits stands against it."""
         opening = snapshot.opening
         if opening is None:
             return None
-        service = ask.service.name
-        ahead = sum(each.order < ask.order for each in self._waiting[service])
+        service = request.service.name
+        ahead = sum(each.order < request.order for each in self._waiting[service])
         elsewhere = self._endpoints.others.queue_of(service)
         wait = max(0.0, opening.at - now) + (ahead + elsewhere.fresh) / opening.rate
         waiting = len(self._waiting[service]) + elsewhere.fresh + elsewhere.late
         return LimitedTurn(wait, opening.rate, waiting)
 
-    def _decide_turn(self, ask: Ask, turn: LimitedTurn, work: float, now: float) -> Refused | None:
-        elapsed = now - ask.since + ask.spent
-        least = self._measure_least(ask, work)
-        left = ask.deadline - now
-        verdict = decide_limited_turn(turn.wait, least, elapsed, ask.aim, left)
+    def _decide_turn(
+        self, request: PlacementRequest, turn: LimitedTurn, work: float, now: float
+    ) -> Refused | None:
+        elapsed = now - request.since + request.spent
+        least = self._measure_least(request, work)
+        left = request.deadline - now
+        verdict = decide_limited_turn(turn.wait, least, elapsed, request.aim, left)
         if verdict is Verdict.HOLD:
             return None
         return Refused(f"rate limits leave room in {turn.wait:.2f} s", 0, turn)
@@ -272,40 +280,44 @@
             self._snapshots[service.name] = snapshot
         return snapshot
 
-    def _weigh(self, ask: Ask, snapshot: Snapshot, now: float) -> tuple[Choice | None, Verdict]:
+    def _weigh(
+        self, request: PlacementRequest, snapshot: Snapshot, now: float
+    ) -> tuple[Choice | None, Verdict]:
         """Choose an endpoint, and decide whether the request is sent there now."""
-        engine = ask.service.engine
+        engine = request.service.engine
         work = snapshot.work
-        aim_share = self._aim_shares.get(ask.service.name, AIM_SHARE_MOST)
-        elapsed = now - ask.since + ask.spent
+        aim_share = self._aim_shares.get(request.service.name, AIM_SHARE_MOST)
+        elapsed = now - request.since + request.spent
         choice = choose_endpoint(
             snapshot.loads,
             engine,
-            ask.prompt_tokens,
+            request.prompt_tokens,
             work,
             self._random,
-            ask.aim * aim_share - elapsed,
+            request.aim * aim_share - elapsed,
             snapshot.best,
         )
         needed, least = None, inf
         if choice is not None:
-            least = self._measure_least(ask, work)
-            urgent = any(each.order < ask.order for each in self._waiting[ask.service.name])
-            if not urgent and not self._must_yield(ask, snapshot, ask.aim * aim_share, now):
+            least = self._measure_least(request, work)
+            urgent = any(each.order < request.order for each in self._waiting[request.service.name])
+            if not urgent and not self._must_yield(request, snapshot, request.aim * aim_share, now):
                 needed = count_seconds(choice.prediction, engine)
         verdict = decide_turn(
             needed,
             elapsed,
-            ask.aim,
-            ask.deadline - now,
-            limited=engine is not None and not ask.begun,
-            spent=ask.spent,
+            request.aim,
+            request.deadline - now,
+            limited=engine is not None and not request.begun,
+            spent=request.spent,
             aim_share=aim_share,
             least=least,
         )
         return choice, verdict
 
-    def _must_yield(self, ask: Ask, snapshot: Snapshot, limit: float, now: float) -> bool:
+    def _must_yield(
+        self, request: PlacementRequest, snapshot: Snapshot, limit: float, now: float
+    ) -> bool:
         """Tell whether a request leaves what room there is to others that wait, here or elsewhere.
 
         Answers an engine that is back while many wait: all nodes saw it idle at the same moment,
@@ -315,20 +327,22 @@
 
         :param limit: seconds to a first event that are in time.
         """
-        engine = ask.service.engine
-        if engine is None or ask.begun:
+        engine = request.service.engine
+        if engine is None or request.begun:
             return False
-        if now < ask.not_before:
+        if now < request.not_before:
             return True
-        queue = self._count_queue(ask.service.name)
-        queue += self._endpoints.others.queue_of(ask.service.name)
+        queue = self._count_queue(request.service.name)
+        queue += self._endpoints.others.queue_of(request.service.name)
         if queue.fresh + queue.late <= 1:
             return False
-        share = LATE_SHARE if ask.is_late else 1.0
+        share = LATE_SHARE if request.is_late else 1.0
         room = snapshot.count_room(engine, limit * share)
-        if self._random.random() < share_room(room, queue.fresh, queue.late, late_ask=ask.is_late):
+        if self._random.random() < share_room(
+            room, queue.fresh, queue.late, late_ask=request.is_late
+        ):
             return False
-        ask.not_before = now + self._update_interval()
+        request.not_before = now + self._update_interval()
         return True
 
     def _count_queue(self, service: ServiceName) -> QueueLength:
@@ -344,11 +358,11 @@
             if waiting
         }
 
-    def _measure_least(self, ask: Ask, work: float) -> float:
+    def _measure_least(self, request: PlacementRequest, work: float) -> float:
         """Return the seconds that count against the aim at an idle endpoint."""
         idle = EndpointLoad("idle", slots=1, running=0, waiting=0, sent_since=0, distance=0)
-        prediction = predict_answer(idle, ask.service.engine, ask.prompt_tokens, work)
-        return count_seconds(prediction, ask.service.engine)
+        prediction = predict_answer(idle, request.service.engine, request.prompt_tokens, work)
+        return count_seconds(prediction, request.service.engine)
 
     def _measure(
         self, able: Sequence[Able], service: BackendService, now: float
@@ -395,16 +409,16 @@
         ]
 
 
-async def _wait(changed: asyncio.Event, ask: Ask) -> None:
+async def _wait(changed: asyncio.Event, request: PlacementRequest) -> None:
     """Wait for a change, or for a moment in which marks of full endpoints may have passed.
 
     A stream that goes on elsewhere looks again at once; others leave a moment between two looks,
     since each change wakes all that wait.
     """
-    if not ask.begun:
+    if not request.begun:
         await asyncio.sleep(_LEAST_WAIT)
     try:
-        async with asyncio.timeout(max(_LEAST_WAIT, ask.aim * HOLD_SHARE / 4)):
+        async with asyncio.timeout(max(_LEAST_WAIT, request.aim * HOLD_SHARE / 4)):
             await changed.wait()
     except TimeoutError:
         pass
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -5,7 +5,7 @@
 from wrenloft_core import AgentId, ContentId, OrganisationName, read_clock
 from wrenloft_policy import Prediction
 from wrenloft_routing._exchange import CallerRequest
-from wrenloft_routing._gate import Ask
+from wrenloft_routing._gate import PlacementRequest
 from wrenloft_routing._loads import NOTHING, InProgress
 from wrenloft_routing._streams import Pump
 from wrenloft_routing._table import BackendService, Rule
@@ -42,12 +42,12 @@
         return self.deadline - read_clock()
 
 
-def build_ask(progress: RequestProgress, since: float) -> Ask:
+def build_placement_request(progress: RequestProgress, since: float) -> PlacementRequest:
     """Return what the request asks of the gate.
 
     :param since: when it began to wait.
     """
-    return Ask(
+    return PlacementRequest(
         service=progress.service,
         rank=progress.rank,
         prompt_tokens=progress.request.prompt_tokens,
--- a/packages/wrenloft-routing/tests/test_loads.py
+++ b/packages/wrenloft-routing/tests/test_loads.py
@@ -17,7 +17,6 @@
 )
 from wrenloft_policy import EngineProfile
 from wrenloft_routing import (
-    Ask,
     BackendService,
     Endpoint,
     Endpoints,
@@ -27,6 +26,7 @@
     LoadUpdate,
     PeerLoads,
     Placed,
+    PlacementRequest,
     QueueLength,
 )
 
@@ -141,9 +141,9 @@
         return gates
 
     @staticmethod
-    def _ask(spent: float = 0.0) -> Ask:
+    def _ask(spent: float = 0.0) -> PlacementRequest:
         now = read_clock()
-        return Ask(BACKEND, 1, 1000.0, now, spent, aim=0.4, deadline=now + 6.0)
+        return PlacementRequest(BACKEND, 1, 1000.0, now, spent, aim=0.4, deadline=now + 6.0)
 
     async def test_engine_that_is_back_is_not_flooded(self) -> None:
         """An engine is back while 36 requests wait at nine nodes, which all see it idle.
--- a/packages/wrenloft-routing/tests/test_snapshot.py
+++ b/packages/wrenloft-routing/tests/test_snapshot.py
@@ -6,7 +6,7 @@
 
 from wrenloft_core import AgentId, ModelName, PlaceName, RegionName, ServiceName, read_clock
 from wrenloft_policy import EngineProfile
-from wrenloft_routing import Ask, BackendService, Endpoint, Endpoints, Gate, Placed
+from wrenloft_routing import BackendService, Endpoint, Endpoints, Gate, Placed, PlacementRequest
 
 SERVICE = ServiceName("s")
 MODEL = ModelName("m")
@@ -34,9 +34,9 @@
     return Gate(endpoints, Random(1), 8.0), endpoints
 
 
-def _ask() -> Ask:
+def _ask() -> PlacementRequest:
     now = read_clock()
-    return Ask(BACKEND, 1, 900.0, now, 0.0, aim=0.8, deadline=now + 6.0)
+    return PlacementRequest(BACKEND, 1, 900.0, now, 0.0, aim=0.8, deadline=now + 6.0)
 
 
 class TestSnapshot:
