--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -725,36 +725,38 @@
     ),
     Safeguard(
         "an endpoint that answers did not fall",
-        f"{ROUTING}/_falls.py",
+        f"{ROUTING}/_failure_detector.py",
         "if liveness is Liveness.REFUSED:",
         "if liveness is not Liveness.SILENT:",
-        f"{ROUTING_TESTS}/test_falls.py" "::test_broken_connection_to_a_live_endpoint_is_no_fall",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_broken_connection_to_a_live_endpoint_is_no_fall",
     ),
     Safeguard(
         "a request sent after a fall has no part in it",
-        f"{ROUTING}/_falls.py",
+        f"{ROUTING}/_failure_detector.py",
         "if sent_at <= losses.fell_at:",
         "if True:",
-        f"{ROUTING_TESTS}/test_falls.py::test_request_sent_after_the_fall_had_no_part_in_it",
+        f"{ROUTING_TESTS}/test_failure_detector.py::test_request_sent_after_the_fall_had_no_part_in_it",
     ),
     Safeguard(
         "an endpoint that is leaving may end",
-        f"{ROUTING}/_falls.py",
+        f"{ROUTING}/_failure_detector.py",
         "if state.leaving or not (listed or silent):",
         "if False:",
-        f"{ROUTING_TESTS}/test_falls.py" "::test_end_of_an_endpoint_that_was_leaving_is_no_fall",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_end_of_an_endpoint_that_was_leaving_is_no_fall",
     ),
     Safeguard(
         "a quick restart is a fall",
-        f"{ROUTING}/_falls.py",
+        f"{ROUTING}/_failure_detector.py",
         "return any(each.endpoint.incarnation != endpoint.incarnation for each in listed)",
         "return False",
-        f"{ROUTING_TESTS}/test_falls.py::test_endpoint_that_was_quick_to_restart_has_fallen",
+        f"{ROUTING_TESTS}/test_failure_detector.py::test_endpoint_that_was_quick_to_restart_has_fallen",
     ),
     Safeguard(
         "a silent fall is found out by the next caller",
         f"{ROUTING}/_forward.py",
-        "self._falls.note_unreachable(state)",
+        "self._detector.note_unreachable(state)",
         "pass",
         f"{ROUTING_TESTS}/test_forward.py::TestHeldContent"
         "::test_call_that_waits_at_a_dark_endpoint_is_counted_before_its_deadline",
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -32,7 +32,7 @@
     Reply,
     ReplyBrokenError,
 )
-from wrenloft_routing._falls import Fall, FallSign, FallWatch
+from wrenloft_routing._failure_detector import EndpointFailure, FailureDetector, FailureSign
 from wrenloft_routing._followers import FollowedAgent, FollowedNode, Followers
 from wrenloft_routing._forward import Forwarder
 from wrenloft_routing._frame_streams import FrameRoutes, read_frames
@@ -107,15 +107,15 @@
     "CrashSource",
     "CurrencyProof",
     "Endpoint",
+    "EndpointFailure",
     "EndpointState",
     "Endpoints",
     "EngineReport",
     "EntrySettings",
     "Event",
     "EventSplitter",
-    "Fall",
-    "FallSign",
-    "FallWatch",
+    "FailureDetector",
+    "FailureSign",
     "FollowedAgent",
     "FollowedNode",
     "Followers",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_crash_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_crash_guard.py
@@ -14,7 +14,7 @@
     measure_trial_wait,
 )
 from wrenloft_routing._crash_ledger import CrashLedger, CrashSource, Hold, ToldCrash
-from wrenloft_routing._falls import Fall
+from wrenloft_routing._failure_detector import EndpointFailure
 
 _LOG = logging.getLogger(__name__)
 
@@ -50,7 +50,7 @@
         self._held: set[ContentId] = set()
         ledger.on_change = self._review
 
-    def take_fall(self, fall: Fall) -> None:
+    def take_failure(self, fall: EndpointFailure) -> None:
         """Take that an endpoint fell while requests of this node ran there."""
         for content in sorted(fall.contents):
             crash = Crash(fall.at)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_falls.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -22,10 +22,12 @@
 MOST_CONTENTS = 64
 """Contents kept for one endpoint: four times an engine's slots."""
 
-FALLS = Counter("wrenloft_endpoint_falls", "Endpoints found to have fallen", ["sign"])
+ENDPOINT_FAILURES = Counter(
+    "wrenloft_endpoint_failures", "Endpoints found to have crashed", ["sign"]
+)
 
 
-class FallSign(Enum):
+class FailureSign(Enum):
     """By what an endpoint's fall was found out."""
 
     REFUSED = "refused"
@@ -34,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Fall:
+class EndpointFailure:
     """An endpoint that ended while requests ran there.
 
     :param contents: of the requests whose answers were lost with it at this node.
@@ -43,7 +45,7 @@
 
     incarnation: IncarnationId
     contents: frozenset[ContentId]
-    sign: FallSign
+    sign: FailureSign
     at: float
 
 
@@ -63,12 +65,12 @@
 class _Losses:
     endpoint: Endpoint
     contents: dict[ContentId, _Loss] = field(default_factory=dict)
-    sign: FallSign | None = None
+    sign: FailureSign | None = None
     fell_at: float = 0.0
     probing: bool = False
 
 
-class FallWatch:
+class FailureDetector:
     """Judges, after an answer was lost, whether its endpoint fell or only the connection broke.
 
     Both look alike on the connection. A process that fell refuses the next connection, a host that
@@ -81,7 +83,7 @@
     def __init__(
         self,
         endpoints: Endpoints,
-        on_fall: Callable[[Fall], None],
+        on_fall: Callable[[EndpointFailure], None],
         probe: Callable[[str], Awaitable[Liveness]] = probe_address,
     ) -> None:
         self._endpoints = endpoints
@@ -149,9 +151,9 @@
         liveness = await self._probe(losses.endpoint.address)
         losses.probing = False
         if liveness is Liveness.REFUSED:
-            self._confirm(losses, FallSign.REFUSED)
+            self._confirm(losses, FailureSign.REFUSED)
         elif liveness is Liveness.SILENT:
-            self._confirm(losses, FallSign.SILENT)
+            self._confirm(losses, FailureSign.SILENT)
         else:
             self._clear(losses)
 
@@ -167,7 +169,7 @@
             content: loss for content, loss in losses.contents.items() if loss.silent
         }
         if self._has_restarted(endpoint):
-            self._confirm(losses, FallSign.RESTARTED)
+            self._confirm(losses, FailureSign.RESTARTED)
 
     def review(self) -> None:
         """Compare losses with a new reading of the list, and drop old ones."""
@@ -176,18 +178,18 @@
             if all(each.at < oldest for each in losses.contents.values()):
                 del self._losses[incarnation]
             elif losses.sign is None and self._has_restarted(losses.endpoint):
-                self._confirm(losses, FallSign.RESTARTED)
+                self._confirm(losses, FailureSign.RESTARTED)
 
     def _has_restarted(self, endpoint: Endpoint) -> bool:
         listed = self._endpoints.find_address(endpoint.address)
         return any(each.endpoint.incarnation != endpoint.incarnation for each in listed)
 
-    def _confirm(self, losses: _Losses, sign: FallSign) -> None:
+    def _confirm(self, losses: _Losses, sign: FailureSign) -> None:
         if losses.sign is not None or not losses.contents:
             return
         losses.sign = sign
         losses.fell_at = min(each.at for each in losses.contents.values())
-        FALLS.labels(sign.value).inc()
+        ENDPOINT_FAILURES.labels(sign.value).inc()
         self._tell(losses, frozenset(losses.contents))
 
     def _tell(self, losses: _Losses, contents: frozenset[ContentId]) -> None:
@@ -195,14 +197,14 @@
         endpoint = losses.endpoint
         note(
             _LOG,
-            "endpoint fell",
+            "endpoint failed",
             endpoint=endpoint.agent_id,
             address=endpoint.address,
             sign=losses.sign.value,
             lost_ms_ago=round((read_clock() - losses.fell_at) * 1000),
             contents=sorted(contents),
         )
-        self._on_fall(Fall(endpoint.incarnation, contents, losses.sign, losses.fell_at))
+        self._on_fall(EndpointFailure(endpoint.incarnation, contents, losses.sign, losses.fell_at))
 
     async def close(self) -> None:
         """Give up what is being asked."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -36,7 +36,7 @@
     Reply,
     ReplyBrokenError,
 )
-from wrenloft_routing._falls import FallWatch
+from wrenloft_routing._failure_detector import FailureDetector
 from wrenloft_routing._gate import Gate, Placed, Refused
 from wrenloft_routing._loads import NO_LOAD, InProgress
 from wrenloft_routing._proof import CurrencyProof
@@ -102,7 +102,7 @@
         proof: CurrencyProof,
         open_attempt: OpenAttempt,
         random: Random,
-        falls: FallWatch,
+        detector: FailureDetector,
         guard: CrashGuard,
         take_grants: TakeGrants = _need_no_grants,
     ) -> None:
@@ -113,7 +113,7 @@
         self._proof = proof
         self._open = open_attempt
         self._random = random
-        self._falls = falls
+        self._detector = detector
         self._guard = guard
         self._take_grants = take_grants
         self._longest: dict[str, float] = {}
@@ -255,7 +255,7 @@
         progress.limit_known = rate_limit is not None
         log_attempt(progress, placed, revision, self._proof.age, rate_limit)
         try:
-            with self._falls.run(placed.states, progress.content) as started:
+            with self._detector.run(placed.states, progress.content) as started:
                 progress.sent_at = started
                 result = await self._open_within(progress, placed)
                 if not isinstance(result, NotSent | Rejected | Lost):
@@ -314,11 +314,11 @@
         elif isinstance(result, Rejected):
             for each in at_fault:
                 if each is not placed.state:
-                    self._falls.note_loss(each, progress.content, progress.sent_at, silent=True)
+                    self._detector.note_loss(each, progress.content, progress.sent_at, silent=True)
 
     def _look_at(self, progress: RequestProgress, placed: Placed, *, silent: bool) -> None:
         for state in placed.states:
-            self._falls.note_loss(state, progress.content, progress.sent_at, silent=silent)
+            self._detector.note_loss(state, progress.content, progress.sent_at, silent=silent)
 
     async def _open_within(
         self, progress: RequestProgress, placed: Placed
@@ -364,7 +364,7 @@
         self, progress: RequestProgress, state: EndpointState, result: NotSent
     ) -> Outcome | None:
         self._endpoints.record_failure(state, read_clock())
-        self._falls.note_unreachable(state)
+        self._detector.note_unreachable(state)
         progress.not_sent += 1
         if progress.not_sent >= _MAX_CONNECT_ATTEMPTS:
             return self._give_up(progress, "connect", Refused(result.reason, 1))
--- a/packages/wrenloft-routing/tests/test_crash_guard.py
+++ b/packages/wrenloft-routing/tests/test_crash_guard.py
@@ -4,7 +4,14 @@
 
 from wrenloft_core import ContentId, IncarnationId, read_clock
 from wrenloft_policy import TRIAL_SECONDS, Crash
-from wrenloft_routing import CrashGuard, CrashLedger, CrashSource, Fall, FallSign, ToldCrash
+from wrenloft_routing import (
+    CrashGuard,
+    CrashLedger,
+    CrashSource,
+    EndpointFailure,
+    FailureSign,
+    ToldCrash,
+)
 from wrenloft_routing._crash_guard import MOST_PROVEN
 
 CONTENT = ContentId("c")
@@ -41,7 +48,9 @@
         for name in names:
             held = frozenset(ContentId(each) for each in contents)
             at = read_clock() - age
-            self.guard.take_fall(Fall(IncarnationId(name), held, FallSign.REFUSED, at))
+            self.guard.take_failure(
+                EndpointFailure(IncarnationId(name), held, FailureSign.REFUSED, at)
+            )
 
     @property
     def is_held(self) -> bool:
--- a/packages/wrenloft-routing/tests/test_falls.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -8,10 +8,10 @@
 from wrenloft_core import AgentId, ContentId, PlaceName, RegionName, ServiceName
 from wrenloft_routing import (
     Endpoint,
+    EndpointFailure,
     Endpoints,
-    Fall,
-    FallSign,
-    FallWatch,
+    FailureDetector,
+    FailureSign,
     Liveness,
     probe_address,
 )
@@ -28,10 +28,10 @@
     def __init__(self, liveness: Liveness) -> None:
         self.liveness = liveness
         self.probed = 0
-        self.falls: list[Fall] = []
+        self.falls: list[EndpointFailure] = []
         self.endpoints = Endpoints(PlaceName("p"), RegionName("r"))
         self.endpoints.update([ENDPOINT], trusted=True)
-        self.watch = FallWatch(self.endpoints, self.falls.append, self._probe)
+        self.watch = FailureDetector(self.endpoints, self.falls.append, self._probe)
 
     async def _probe(self, address: str) -> Liveness:
         self.probed += 1
@@ -77,7 +77,7 @@
     await watched.lose("a", silent=True)
     watched.endpoints.update([replace(ENDPOINT, **after)], trusted=True)  # type: ignore[arg-type]
     watched.watch.review()
-    assert [each.sign for each in watched.falls] == [FallSign.RESTARTED]
+    assert [each.sign for each in watched.falls] == [FailureSign.RESTARTED]
 
 
 async def test_restart_that_was_listed_before_the_silence_was_noticed_is_a_fall() -> None:
@@ -88,7 +88,7 @@
     watched.endpoints.update([replace(ENDPOINT, agent_id=AgentId("other"))], trusted=True)
     watched.watch.note_loss(state, CONTENT, 0.0, silent=True)
     await asyncio.sleep(0.01)
-    assert [each.sign for each in watched.falls] == [FallSign.RESTARTED]
+    assert [each.sign for each in watched.falls] == [FailureSign.RESTARTED]
 
 
 async def test_end_of_an_endpoint_that_was_leaving_is_no_fall() -> None:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -47,7 +47,7 @@
     Endpoints,
     EndpointState,
     EngineReport,
-    FallWatch,
+    FailureDetector,
     Forwarder,
     Gate,
     Headers,
@@ -222,7 +222,7 @@
         self.crashes = CrashLedger()
         self.keeper = FakeKeeper()
         self.guard = CrashGuard(self.crashes, self.keeper)
-        watch = FallWatch(self.endpoints, self.guard.take_fall, self._probe)
+        watch = FailureDetector(self.endpoints, self.guard.take_failure, self._probe)
         self.forwarder = Forwarder(
             self.endpoints,
             self.gate,
--- a/tests/platform/test_crashing_content.py
+++ b/tests/platform/test_crashing_content.py
@@ -295,7 +295,7 @@
         counts = await _read_metrics(entry)
         assert counts["wrenloft_held_back_total"] == 0.0
         assert counts["wrenloft_contents_held"] == 0.0
-        seen += counts.get('wrenloft_endpoint_falls_total{sign="refused"}', 0.0)
+        seen += counts.get('wrenloft_endpoint_failures_total{sign="refused"}', 0.0)
     assert seen >= CRASHES
 
 
