--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -274,8 +274,8 @@
     Safeguard(
         "routing: what is not idempotent is not repeated",
         f"{ROUTING}/_forward.py",
-        "return progress.rule.idempotent and attempts < progress.rule.max_attempts",
-        "return attempts < progress.rule.max_attempts",
+        "allowed = progress.rule.idempotent and not progress.on_trial",
+        "allowed = not progress.on_trial",
         f"{ROUTING_TESTS}/test_forward.py::TestWholeAnswers"
         "::test_unsafe_request_is_never_sent_twice",
     ),
@@ -433,7 +433,7 @@
     ),
     Safeguard(
         "a follower is not told its own requests",
-        f"{ROUTING}/_view.py",
+        f"{ROUTING}/_zone_view.py",
         "sums[agent_id] = sums.get(agent_id, NO_LOAD) - load",
         "sums[agent_id] = sums.get(agent_id, NO_LOAD)",
         f"{ROUTING_TESTS}/test_zone.py::TestFrameWriter"
@@ -466,8 +466,8 @@
     Safeguard(
         "other nodes of a zone read the store in turns",
         f"{ROUTING}/_readings.py",
-        "await asyncio.sleep(self._random.uniform(0.0, 2.0 * SELF_READ_SECONDS * nodes))",
-        "await asyncio.sleep(0.0)",
+        "wait = self._random.uniform(0.0, 2.0 * SELF_READ_SECONDS * nodes)",
+        "wait = 0.0",
         f"{ROUTING_TESTS}/test_beliefs.py::TestSharedReading"
         "::test_store_that_is_away_gets_few_calls_from_many_nodes",
     ),
@@ -775,6 +775,114 @@
         "expected: list[dict[str, Any]] = []",
         f"{ADAPTER_TESTS}/test_holds.py::test_one_of_two_nodes_claims_a_trial",
     ),
+    Safeguard(
+        "a rate limit is read from answers",
+        f"{ADAPTER}/_runner.py",
+        "self.named_limit = read_named_limit(headers.getall(names.RATE_LIMIT, ()))",
+        "self.named_limit = None",
+        f"{ADAPTER_TESTS}/test_rate_limits.py"
+        "::test_limited_endpoint_gets_no_more_from_all_nodes_than_it_named[1.8]",
+    ),
+    Safeguard(
+        "each try to a limited endpoint needs a grant",
+        f"{ROUTING}/_forward.py",
+        "await self._take_grants(placed.states, progress.rank)",
+        "True",
+        f"{ROUTING_TESTS}/test_forward.py::TestRateLimits::test_every_try_asks_for_a_grant",
+    ),
+    Safeguard(
+        "an endpoint without a grant is passed over",
+        f"{ROUTING}/_gate.py",
+        "states = [each for each in usable if each.ask_after <= now]",
+        "states = usable",
+        f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
+        "::test_request_goes_on_to_an_endpoint_with_room_at_once",
+    ),
+    Safeguard(
+        "a request that limits leave no turn is refused at once",
+        f"{ROUTING}/_gate.py",
+        "opening = None if able else self._find_opening(service, tried, now)",
+        "opening = None",
+        f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
+        "::test_request_without_a_turn_is_refused_at_once",
+    ),
+    Safeguard(
+        "a limiter's bucket begins empty",
+        f"{ROUTING}/_limiter.py",
+        "_Account(Bucket(0.0, now))",
+        "_Account(Bucket(2.0, now))",
+        f"{ROUTING_TESTS}/test_limiter.py::test_bucket_begins_empty",
+    ),
+    Safeguard(
+        "only the limiter grants",
+        f"{ROUTING}/_limiter.py",
+        "if self.find_limiter(incarnation, request.place) != self._members.own.node_id:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_limiter.py::test_node_that_is_not_the_limiter_grants_nothing",
+    ),
+    Safeguard(
+        "the most urgent request gets the next grant",
+        f"{ROUTING}/_limiter.py",
+        "needed = 1.0 + sum(rank < request.rank for rank in others)",
+        "needed = 1.0",
+        f"{ROUTING_TESTS}/test_limiter.py::test_urgent_request_that_was_denied_goes_first",
+    ),
+    Safeguard(
+        "a limit ends after several answers without it",
+        f"{POLICY}/_rate_limits.py",
+        "ANSWERS_TO_END = 3",
+        "ANSWERS_TO_END = 1",
+        f"{ROUTING_TESTS}/test_limit_ledger.py::TestObserve"
+        "::test_answers_without_it_among_others_do_not_end_it",
+    ),
+    Safeguard(
+        "answers to requests sent before a limit was known do not end it",
+        f"{ROUTING}/_limit_ledger.py",
+        "if named is None and not limit_known:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_limit_ledger.py::TestObserve"
+        "::test_answers_to_requests_sent_before_do_not_end_it",
+    ),
+    Safeguard(
+        "of two beliefs on a limit the later one holds",
+        f"{POLICY}/_rate_limits.py",
+        "if known is None or (told.sequence, told.node) > (known.sequence, known.node):",
+        "if True:",
+        f"{POLICY_TESTS}/test_rate_limits.py::TestJoinLimit"
+        "::test_nodes_agree_in_whichever_order_they_hear",
+    ),
+    Safeguard(
+        "parts of a split fleet share a limit",
+        f"{POLICY}/_rate_limits.py",
+        "return rate * MINORITY_SHARE * fleet.share",
+        "return rate",
+        f"{POLICY_TESTS}/test_rate_limits.py::TestAllotRate"
+        "::test_two_parts_of_a_split_fleet_leave_room_for_their_bursts",
+    ),
+    Safeguard(
+        "a bucket holds little",
+        f"{POLICY}/_rate_limits.py",
+        "return Bucket(min(most, bucket.tokens + earned), now)",
+        "return Bucket(bucket.tokens + earned, now)",
+        f"{POLICY_TESTS}/test_rate_limits.py::TestRefillBucket"
+        "::test_holds_little_however_long_nobody_came",
+    ),
+    Safeguard(
+        "a limit binds one incarnation",
+        f"{ROUTING}/_endpoints.py",
+        "return self.limits.find_rate(state.endpoint.incarnation) if self.limits else None",
+        "return next((each.rate for each in self.limits.list_in_force()), None)",
+        f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
+        "::test_endpoint_that_started_again_is_not_bound",
+    ),
+    Safeguard(
+        "an agent looks nodes up that it was never told of",
+        f"{AGENT}/nodes/_attach.py",
+        "self._known.addresses = listed",
+        "pass",
+        "tests/test_control_under_failure.py::TestConfiguration"
+        "::test_survives_a_restart_of_which_no_agent_has_heard",
+    ),
 )
 
 
--- /dev/null
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endings.py
@@ -0,0 +1,52 @@
+"""How a request ends that no endpoint answered."""
+
+from random import Random
+
+from wrenloft_core import NotRun, Outcome, Unknown
+from wrenloft_policy import pick_limited_return, pick_return
+from wrenloft_routing._exchange import AnswerSink, Headers
+from wrenloft_routing._gate import Refused
+from wrenloft_routing._request_log import RATE_LIMITED
+from wrenloft_routing._request_progress import RequestProgress
+
+_CONNECT_RETRY_SECONDS = 0.03
+"""When a caller should come back whose request was rejected by an endpoint that others replace."""
+
+
+def give_up(progress: RequestProgress, step: str, refused: Refused, random: Random) -> Outcome:
+    """End a request that nobody runs; say "not run" only if that is certain."""
+    if progress.may_have_run or progress.pump.begun:
+        return Unknown(step, refused.reason, progress.peer)
+    if refused.turn is not None:
+        RATE_LIMITED.inc()
+    retry_after = _pick_return(progress, refused, random)
+    return NotRun(step, refused.reason, progress.peer, retry_after=retry_after)
+
+
+def _pick_return(progress: RequestProgress, refused: Refused, random: Random) -> float:
+    left = max(0.0, progress.left)
+    turn = refused.turn
+    if turn is not None:
+        return pick_limited_return(turn.wait, turn.rate, turn.waiting, left, random)
+    if progress.attempts or progress.not_sent:
+        return _CONNECT_RETRY_SECONDS
+    return pick_return(left, refused.candidates, random)
+
+
+async def send_refusal(outcome: NotRun, sink: AnswerSink) -> None:
+    """Tell a caller that its request has not run, and when to come back."""
+    headers: Headers = (("Content-Type", "text/plain"),)
+    if outcome.retry_after is not None:
+        headers += (("Retry-After", f"{outcome.retry_after:.3f}"),)
+    body = f"{outcome.step}: {outcome.reason}\n".encode()
+    await sink.send_whole(outcome.status, headers, body)
+
+
+async def send_failure(progress: RequestProgress, outcome: Unknown, sink: AnswerSink) -> None:
+    """Tell a caller that nobody knows whether its request has run, or break its answer off."""
+    if progress.pump.begun:
+        sink.abort()
+        return
+    status = 504 if progress.left <= 0 else 502
+    body = f"{outcome.step}: {outcome.reason}\n".encode()
+    await sink.send_whole(status, (("Content-Type", "text/plain"),), body)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -15,20 +15,18 @@
 )
 from wrenloft_policy import (
     estimate_spent,
-    pick_limited_return,
-    pick_return,
     rank_urgency,
 )
 from wrenloft_routing._budget import SharedBudget
 from wrenloft_routing._content import identify_content
 from wrenloft_routing._crash_guard import CrashGuard
 from wrenloft_routing._crash_ledger import Hold
+from wrenloft_routing._endings import give_up, send_failure, send_refusal
 from wrenloft_routing._endpoints import Endpoints, EndpointState
 from wrenloft_routing._exchange import (
     AnswerSink,
     Attempt,
     CallerRequest,
-    Headers,
     Lost,
     NotSent,
     OpenAttempt,
@@ -43,7 +41,6 @@
 from wrenloft_routing._request_log import (
     ATTEMPTS,
     FIRST_SECONDS,
-    RATE_LIMITED,
     conclude,
     log_attempt,
 )
@@ -76,8 +73,8 @@
 """Seconds below which a request is not sent any more: the way there and back takes 8 ms, and a
 plain service works 20 ms on it."""
 
-_CONNECT_RETRY_SECONDS = 0.03
-"""When a caller should come back whose request was rejected by an endpoint that others replace."""
+_DRAIN_SECONDS = 0.03
+"""Longest wait for the rest of an answer that is not passed on."""
 
 
 TakeGrants = Callable[[Sequence[EndpointState], int], Awaitable[bool]]
@@ -122,14 +119,14 @@
         """Answer a request; every way out gives exactly one final answer."""
         progress = self._admit(request)
         if isinstance(progress, NotRun):
-            await self._refuse(progress, sink)
+            await send_refusal(progress, sink)
             conclude(request, "none", progress, None)
             return progress
         outcome = await self._run(progress, sink)
         if isinstance(outcome, NotRun):
-            await self._refuse(outcome, sink)
+            await send_refusal(outcome, sink)
         elif isinstance(outcome, Unknown):
-            await self._fail(progress, outcome, sink)
+            await send_failure(progress, outcome, sink)
         conclude(request, progress.rule.kind.value, outcome, progress)
         return outcome
 
@@ -179,7 +176,7 @@
                 return self._hold_back(progress, hold)
             placed = await self._place(progress)
             if isinstance(placed, Refused):
-                return self._give_up(progress, "place", placed)
+                return give_up(progress, "place", placed, self._random)
             if not progress.on_trial and self._guard.find_hold(progress.content) is not None:
                 continue  # word of it came while the request waited for room
             outcome = await self._attempt(progress, placed, sink)
@@ -367,7 +364,7 @@
         self._detector.note_unreachable(state)
         progress.not_sent += 1
         if progress.not_sent >= _MAX_CONNECT_ATTEMPTS:
-            return self._give_up(progress, "connect", Refused(result.reason, 1))
+            return give_up(progress, "connect", Refused(result.reason, 1), self._random)
         return None
 
     def _after_rejected(
@@ -389,7 +386,7 @@
         allowed = progress.attempts < progress.rule.max_attempts and not progress.on_trial
         if allowed and self._budget.spend(progress.service.name, now):
             return None
-        return self._give_up(progress, "endpoint", Refused(result.reason, 1))
+        return give_up(progress, "endpoint", Refused(result.reason, 1), self._random)
 
     def _after_lost(self, progress: RequestProgress, step: str, reason: str) -> Outcome | None:
         progress.may_have_run = True
@@ -399,23 +396,6 @@
             reason = f"{reason}; no second try left in the budget"
         return Unknown(step, reason, progress.peer)
 
-    def _give_up(self, progress: RequestProgress, step: str, refused: Refused) -> Outcome:
-        """End a request that nobody runs; say "not run" only if that is certain."""
-        if progress.may_have_run or progress.pump.begun:
-            return Unknown(step, refused.reason, progress.peer)
-        left = max(0.0, progress.left)
-        if refused.turn is not None:
-            RATE_LIMITED.inc()
-            turn = refused.turn
-            retry_after = pick_limited_return(
-                turn.wait, turn.rate, turn.waiting, left, self._random
-            )
-        elif progress.attempts or progress.not_sent:
-            retry_after = _CONNECT_RETRY_SECONDS
-        else:
-            retry_after = pick_return(left, refused.candidates, self._random)
-        return NotRun(step, refused.reason, progress.peer, retry_after=retry_after)
-
     async def _take_reply(
         self,
         progress: RequestProgress,
@@ -464,7 +444,7 @@
     async def _drain(self, reply: Reply) -> None:
         """Read a short answer to its end, so that its connection can be used again."""
         try:
-            async with asyncio.timeout(_CONNECT_RETRY_SECONDS):
+            async with asyncio.timeout(_DRAIN_SECONDS):
                 await reply.read_whole()
                 await reply.close(reusable=True)
         except (ReplyBrokenError, TimeoutError):
@@ -557,18 +537,3 @@
             seconds = progress.pump.begun_at - progress.request.arrived
             in_time = seconds <= progress.rule.aim
             self._gate.record_first_event(progress.service.name, in_time=in_time)
-
-    async def _refuse(self, outcome: NotRun, sink: AnswerSink) -> None:
-        headers: Headers = (("Content-Type", "text/plain"),)
-        if outcome.retry_after is not None:
-            headers += (("Retry-After", f"{outcome.retry_after:.3f}"),)
-        body = f"{outcome.step}: {outcome.reason}\n".encode()
-        await sink.send_whole(outcome.status, headers, body)
-
-    async def _fail(self, progress: RequestProgress, outcome: Unknown, sink: AnswerSink) -> None:
-        if progress.pump.begun:
-            sink.abort()
-            return
-        status = 504 if progress.left <= 0 else 502
-        body = f"{outcome.step}: {outcome.reason}\n".encode()
-        await sink.send_whole(status, (("Content-Type", "text/plain"),), body)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -64,6 +64,7 @@
     Target,
     identify_content,
 )
+from wrenloft_routing._endings import give_up
 from wrenloft_routing._request_progress import RequestProgress
 
 PLACE = PlaceName("p")
@@ -603,7 +604,6 @@
 
         A refusal would be written behind the head and events that it has.
         """
-        bench = Bench()
         rule = TABLE.rules[4]
         service = TABLE.services[ENGINES]
         progress = RequestProgress(
@@ -611,7 +611,7 @@
         )
         progress.pump.begun = True
         refused = Refused("no room", 1)
-        assert isinstance(bench.forwarder._give_up(progress, "place", refused), Unknown)
+        assert isinstance(give_up(progress, "place", refused, Random(1)), Unknown)
 
     async def test_stream_that_may_not_resume_is_aborted(self) -> None:
         """The caller sees a broken connection, and nothing is sent a second time."""
