Let urgent requests ask where a less urgent one was denied

What callers would see: an alarm refused, or held for up to 1.3 s, because a report of the same node had just been denied at all limited endpoints: the pause between two questions was kept by endpoint, whatever the rank, so that the limiter never heard of the urgent request. Found by reading; shown by test_urgent_request_asks_where_a_less_urgent_one_was_denied (503 without the change, 200 with it; in make prove). The pause now bears the rank that was denied, and the limiter keeps the most urgent rank that a node waits with.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -793,7 +793,7 @@
     Safeguard(
         "an endpoint without a grant is passed over",
         f"{ROUTING}/_gate.py",
-        "states = [each for each in usable if each.ask_after <= now]",
+        "states = [each for each in usable if each.denial.ask_after <= now]",
         "states = usable",
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_request_goes_on_to_an_endpoint_with_room_at_once",
@@ -875,6 +875,14 @@
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_endpoint_that_started_again_is_not_bound",
     ),
+    Safeguard(
+        "an urgent request asks where a less urgent one was denied",
+        f"{ROUTING}/_gate.py",
+        "if opening is not None and request.rank < opening.least_urgent.state.denial.rank:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
+        "::test_urgent_request_asks_where_a_less_urgent_one_was_denied",
+    ),
     Safeguard(
         "an agent looks nodes up that it was never told of",
         f"{AGENT}/nodes/_attach.py",
--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -14,6 +14,8 @@
 from wrenloft_routing._crash_routes import CrashRoutes
 from wrenloft_routing._endpoints import (
     KEPT_SECONDS,
+    NO_DENIAL,
+    Denial,
     Endpoint,
     Endpoints,
     EndpointState,
@@ -91,6 +93,7 @@
 __all__ = [
     "KEPT_SECONDS",
     "MESSAGES",
+    "NO_DENIAL",
     "Able",
     "AnswerSink",
     "Attempt",
@@ -106,6 +109,7 @@
     "CrashRoutes",
     "CrashSource",
     "CurrencyProof",
+    "Denial",
     "Endpoint",
     "EndpointFailure",
     "EndpointState",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -113,6 +113,23 @@
     span: LayerSpan | None
 
 
+@dataclass(frozen=True, slots=True)
+class Denial:
+    """A grant that an endpoint's limiter denied.
+
+    :param rank: of the request; a more urgent one may ask before the pause is over.
+    :param ask_after: until when others do not ask.
+    :param turn_at: when a request that waits would have its turn.
+    """
+
+    rank: int
+    ask_after: float
+    turn_at: float
+
+
+NO_DENIAL = Denial(0, 0.0, 0.0)
+
+
 @dataclass(slots=True)
 class EndpointState:
     """An endpoint and what this node knows of it beyond the list.
@@ -122,8 +139,7 @@
     :param agent_heard_at: when its agent, which had nothing new to say, was still heard.
     :param later_parts: requests in progress of this node that go through it after another engine.
     :param kept_at: since when each idle connection to it is kept.
-    :param ask_after: until when no grant is asked for here: its rate limit is used up.
-    :param turn_at: when a request that waits for a grant would have its turn.
+    :param denial: the latest grant that was denied: its rate limit is used up.
     """
 
     endpoint: Endpoint
@@ -140,8 +156,7 @@
     sent_at: deque[float] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
     later_parts: int = 0
     kept_at: deque[float] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
-    ask_after: float = 0.0
-    turn_at: float = 0.0
+    denial: Denial = NO_DENIAL
 
     def note_kept(self, now: float) -> None:
         """Take that a connection to it was left open and idle."""
@@ -358,18 +373,13 @@
         rate = self.find_limit(state)
         _show_limit(agent_id, rate)
         if rate is None or (old is not None and rate > old):
-            state.ask_after = 0.0
+            state.denial = NO_DENIAL
         self.touch()
         self.notify()
 
-    def defer(self, state: EndpointState, now: float, ask_again: float, turn: float) -> None:
-        """Pass an endpoint over whose rate limit is used up.
-
-        :param ask_again: seconds until a grant may be asked for.
-        :param turn: seconds until a request that waits would have its turn.
-        """
-        state.ask_after = now + ask_again
-        state.turn_at = now + turn
+    def defer(self, state: EndpointState, denial: Denial) -> None:
+        """Pass an endpoint over whose rate limit is used up."""
+        state.denial = denial
         self.touch()
 
     def record_success(self, state: EndpointState) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -224,12 +224,11 @@
         if verdict is Verdict.SEND and choice is not None:
             chosen = snapshot.find(choice.key)
             snapshot.count_sent(choice.key, request.prompt_tokens)
-            # Engines of a chain are told the version as well: one that has just gone on to the
-            # next version would otherwise run its layers of that.
-            insisted = self.required_version(request.service, now) or chosen.chain
-            version = chosen.version if insisted else None
-            candidates = len(snapshot.able)
-            return Placed(chosen.state, choice.prediction, candidates, version, chosen.chain)
+            return self._place_at(request, chosen, choice.prediction, len(snapshot.able), now)
+        opening = snapshot.opening
+        if opening is not None and request.rank < opening.least_urgent.state.denial.rank:
+            idle = self._predict_idle(request, snapshot.work)
+            return self._place_at(request, opening.least_urgent, idle, 1, now)
         if choice is None and (turn := self._find_turn(request, snapshot, now)) is not None:
             return self._decide_turn(request, turn, snapshot.work, now)
         if verdict is Verdict.REFUSE:
@@ -240,6 +239,20 @@
             return Refused(f"best of {len(snapshot.able)} needs {needed:.3f} s", len(snapshot.able))
         return None
 
+    def _place_at(
+        self,
+        request: PlacementRequest,
+        chosen: Able,
+        prediction: Prediction,
+        candidates: int,
+        now: float,
+    ) -> Placed:
+        # Engines of a chain are told the version as well: one that has just gone on to the next
+        # version would otherwise run its layers of that.
+        insisted = self.required_version(request.service, now) or chosen.chain
+        version = chosen.version if insisted else None
+        return Placed(chosen.state, prediction, candidates, version, chosen.chain)
+
     def _find_turn(
         self, request: PlacementRequest, snapshot: Snapshot, now: float
     ) -> LimitedTurn | None:
@@ -360,9 +373,11 @@
 
     def _measure_least(self, request: PlacementRequest, work: float) -> float:
         """Return the seconds that count against the aim at an idle endpoint."""
+        return count_seconds(self._predict_idle(request, work), request.service.engine)
+
+    def _predict_idle(self, request: PlacementRequest, work: float) -> Prediction:
         idle = EndpointLoad("idle", slots=1, running=0, waiting=0, sent_since=0, distance=0)
-        prediction = predict_answer(idle, request.service.engine, request.prompt_tokens, work)
-        return count_seconds(prediction, request.service.engine)
+        return predict_answer(idle, request.service.engine, request.prompt_tokens, work)
 
     def _measure(
         self, able: Sequence[Able], service: BackendService, now: float
@@ -380,7 +395,7 @@
         self, service: BackendService, tried: Collection[AgentId], now: float
     ) -> list[Able]:
         usable = self._list_usable(service, tried, now)
-        states = [each for each in usable if each.ask_after <= now]
+        states = [each for each in usable if each.denial.ask_after <= now]
         required = self.required_version(service, now)
         return list_able(service, states, required, now, self._random)
 
@@ -392,11 +407,15 @@
             return None
         states = self._list_usable(service, tried, now)
         able = list_able(service, states, self.required_version(service, now), now, self._random)
-        limited = [each.state for each in able if each.state.ask_after > now]
+        limited = [each for each in able if each.state.denial.ask_after > now]
         if not limited:
             return None
-        rates = [max(LEAST_RATE, self._endpoints.find_limit(each) or 0.0) for each in limited]
-        return Opening(min(each.turn_at for each in limited), sum(rates))
+        rates = [self._endpoints.find_limit(each.state) or 0.0 for each in limited]
+        return Opening(
+            at=min(each.state.denial.turn_at for each in limited),
+            rate=sum(max(LEAST_RATE, each) for each in rates),
+            least_urgent=max(limited, key=lambda each: each.state.denial.rank),
+        )
 
     def _list_usable(
         self, service: BackendService, tried: Collection[AgentId], now: float
--- a/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
@@ -10,7 +10,7 @@
 from prometheus_client import Counter
 
 from wrenloft_core import NodeId, PlaceName, note, read_clock
-from wrenloft_routing._endpoints import Endpoints, EndpointState
+from wrenloft_routing._endpoints import Denial, Endpoints, EndpointState
 from wrenloft_routing._frames import decode_limit, encode_limit
 from wrenloft_routing._limiter import MISTAKEN_SECONDS, Grant, GrantRequest, Limiter
 from wrenloft_routing._members import Members
@@ -57,7 +57,9 @@
             grant = await self._ask(request)
             GRANTS.labels("granted" if grant.granted else "denied").inc()
             if not grant.granted:
-                self._endpoints.defer(state, read_clock(), grant.ask_again, grant.turn)
+                now = read_clock()
+                denial = Denial(rank, now + grant.ask_again, now + grant.turn)
+                self._endpoints.defer(state, denial)
                 return False
         return True
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_limiter.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_limiter.py
@@ -108,16 +108,19 @@
         waiting = account.waiting
         for node in [node for node, each in waiting.items() if each.until <= now]:
             del waiting[node]
+        known = waiting.get(request.node, _Waiting(request.rank, now))
         others = [each.rank for node, each in waiting.items() if node != request.node]
         needed = 1.0 + sum(rank < request.rank for rank in others)
         tokens = account.bucket.tokens
         if tokens >= needed:
             account.bucket = Bucket(tokens - 1.0, now)
-            waiting.pop(request.node, None)
+            if request.rank <= known.rank:
+                waiting.pop(request.node, None)
             return Grant(granted=True)
         due = (needed - tokens) / rate
         ask_again = pick_ask_again(due, self._random)
-        waiting[request.node] = _Waiting(request.rank, now + ask_again + WAITING_SECONDS)
+        rank = min(request.rank, known.rank)
+        waiting[request.node] = _Waiting(rank, now + ask_again + WAITING_SECONDS)
         ahead = sum(rank == request.rank for rank in others)
         return Grant(False, ask_again, due + ahead / rate)
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_snapshot.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_snapshot.py
@@ -23,10 +23,12 @@
 
     :param at: the soonest time of any.
     :param rate: requests a second that they take together.
+    :param least_urgent: the one where the least urgent request was denied.
     """
 
     at: float
     rate: float
+    least_urgent: Able
 
 
 @dataclass(slots=True)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -34,6 +34,7 @@
     WantedVersion,
 )
 from wrenloft_routing import (
+    NO_DENIAL,
     Attempt,
     BackendService,
     Caller,
@@ -43,6 +44,7 @@
     CrashLedger,
     CrashSource,
     CurrencyProof,
+    Denial,
     Endpoint,
     Endpoints,
     EndpointState,
@@ -186,6 +188,7 @@
         _rule("public", RuleKind.SAFE, PLAIN, public=True),
         _rule("stream", RuleKind.STREAM, ENGINES, resumable=True, gap_aim=0.05),
         _rule("fixed", RuleKind.STREAM, ENGINES),
+        _rule("alarm", RuleKind.SAFE, PLAIN, rank=0),
     ),
     services={
         PLAIN: BackendService(PLAIN, 10),
@@ -243,7 +246,7 @@
         now = read_clock()
         for state in states:
             if state.endpoint.agent_id in self.denied:
-                self.endpoints.defer(state, now, 60.0, self.turn)
+                self.endpoints.defer(state, Denial(rank, now + 60.0, now + self.turn))
                 return False
         return True
 
@@ -390,10 +393,30 @@
         for number in range(3):
             state = bench.endpoints.get(AgentId(f"{PLAIN}-{number}"))
             assert state is not None
-            state.ask_after = 0.0
+            state.denial = NO_DENIAL
         await asking
         assert bench.sink.status == 200
 
+    async def test_urgent_request_asks_where_a_less_urgent_one_was_denied(self) -> None:
+        """Guards against alarms that wait out the pause of a report."""
+        bench = Bench(FakeReply([b"ok"]))
+        bench.limit(0, 1, 2)
+        await bench.ask("safe")
+        bench.denied.clear()
+        bench.sink = FakeSink()
+        await bench.ask("alarm")
+        assert bench.sink.status == 200
+
+    async def test_urgent_request_that_was_denied_too_is_refused(self) -> None:
+        """Guards against urgent requests that ask without end."""
+        bench = Bench()
+        bench.limit(0, 1, 2)
+        await bench.ask("safe")
+        bench.sink = FakeSink()
+        await bench.ask("alarm")
+        assert bench.sink.status == 503
+        assert [rank for _, rank in bench.asked].count(0) == 3
+
     async def test_limits_that_end_let_requests_through_at_once(self) -> None:
         """Guards against endpoints that stay passed over after their limit has ended."""
         bench = Bench(FakeReply([b"ok"]))
