--- a/bench/limits.py
+++ b/bench/limits.py
@@ -4,10 +4,15 @@
 changes little.
 """
 
+import asyncio
 import timeit
 import tracemalloc
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from random import Random
+from time import process_time
+
+from aiohttp import ClientSession, web
 
 from wrenloft_core import AgentId, IncarnationId, NodeId, PlaceName, RegionName, ServiceName
 from wrenloft_policy import NamedLimit, RateLimit
@@ -15,9 +20,12 @@
     BackendService,
     Endpoint,
     Endpoints,
+    EndpointState,
     Frame,
     Gate,
     GrantRequest,
+    GrantRoutes,
+    Grants,
     Limiter,
     LimitLedger,
     Member,
@@ -28,6 +36,7 @@
 )
 
 ROUNDS = 7
+QUESTIONS = 1000
 SIZES = {9: 13, 98: 119, 300: 3000}
 """Endpoints by entry nodes."""
 
@@ -86,6 +95,35 @@
     return measure(look, 30)
 
 
+async def measure_question(endpoints: Endpoints, members: Members) -> float:
+    """Return the microseconds of processor time of a question to another node, both sides."""
+    limiter = Limiter(endpoints.limits, members, Random(1))
+    async with AsyncExitStack() as stack:
+        app = web.Application()
+        app.add_routes(GrantRoutes(limiter).routes())
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{runner.addresses[0][1]}"
+        for member in [*members.others(near=True), *members.others(near=False)]:
+            member.internal = address
+        session = await stack.enter_async_context(ClientSession())
+        grants = Grants(endpoints, members, limiter, session, Random(1))
+        states = [each for each in endpoints.of_service(SERVICE) if _is_asked(each, limiter)]
+        await grants.take(states[:1], 1)
+        begun = process_time()
+        for _ in range(QUESTIONS):
+            await grants.take(states[:1], 1)
+        return (process_time() - begun) / QUESTIONS * 1e6
+
+
+def _is_asked(state: EndpointState, limiter: Limiter) -> bool:
+    """Whether this node has to ask another one."""
+    endpoint = state.endpoint
+    return limiter.find_limiter(endpoint.incarnation, endpoint.place) != "n0"
+
+
 def main() -> None:
     """Measure and print."""
     print("nodes  endpoints  look  look, all limited  grant   us each")
@@ -111,6 +149,8 @@
         told = encode_frame(Frame(0.0, limits=news))
         print(f"       told to a node that starts: {len(told) / 1000:.1f} kB")
         print(f"       state of one limit: {state_bytes:.0f} bytes")
+        question = asyncio.run(measure_question(endpoints, members))
+        print(f"       a question to another node, both sides: {question:.0f} us of processor time")
 
 
 if __name__ == "__main__":
