Ask few of many limited endpoints, and no sooner than there is a turn

What callers would see: where all endpoints of a service are limited and used up, a request asked each of them in turn before it was refused: a few milliseconds each, so 0.4 s at 119 endpoints, against refusing at once. Found by reading; shown by test_request_asks_few_of_many_limited_endpoints (40 questions without the change, 5 with it; in make prove). After five denials a request goes where no grant is needed, waits for a turn that it can use, or is refused. Nodes that were denied ask again when those before them have had their turns, not all within the next one.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -806,6 +806,14 @@
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_request_without_a_turn_is_refused_at_once",
     ),
+    Safeguard(
+        "a request asks few of many limited endpoints",
+        f"{ROUTING}/_gate.py",
+        "return self.denials < MOST_DENIALS",
+        "return True",
+        f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
+        "::test_request_asks_few_of_many_limited_endpoints",
+    ),
     Safeguard(
         "a limiter's bucket begins empty",
         f"{ROUTING}/_limiter.py",
--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -68,7 +68,6 @@
 from wrenloft_policy._queue import FairQueue, Ticket, estimate_wait
 from wrenloft_policy._rate_limits import (
     ANSWERS_TO_END,
-    ASK_AGAIN_LONGEST,
     LEAST_RATE,
     Bucket,
     Group,
@@ -120,7 +119,6 @@
 __all__ = [
     "AIM_SHARE_MOST",
     "ANSWERS_TO_END",
-    "ASK_AGAIN_LONGEST",
     "CRASHES_TO_HOLD",
     "EVERY_LAYER",
     "EVIDENCE_SECONDS",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
@@ -160,18 +160,22 @@
     return max(zone or fleet, key=weigh)
 
 
-ASK_AGAIN_LONGEST = 1.0
-"""Longest pause before a node asks again: a limit may rise or end meanwhile."""
+ASK_AGAIN_LONGEST = 2.0
+"""Longest pause before a node asks again. Sooner is in vain for most, where many nodes wait; later,
+a limiter that died would keep its endpoints idle for as long."""
 
 
-def pick_ask_again(due: float, random: Random) -> float:
+def pick_ask_again(due: float, queue: float, random: Random) -> float:
     """Return the seconds after which a node asks again that was denied.
 
-    Spread, so that the nodes that wait do not ask all at once.
+    Spread over the time in which the nodes that wait have their turns, so that about one of them
+    asks for each token.
 
     :param due: seconds until the bucket has a token for it.
+    :param queue: seconds that the endpoint needs for the other nodes that wait.
     """
-    return min(ASK_AGAIN_LONGEST, due) * random.uniform(1.0, 1.3)
+    pause = due * random.uniform(1.0, 1.3) + random.uniform(0.0, queue)
+    return min(ASK_AGAIN_LONGEST * random.uniform(0.7, 1.0), pause)
 
 
 LIMITED_RETURN_SHARE = 0.5
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -230,6 +230,7 @@
             placed = await self._gate.place(wanted, progress.tried)
             if isinstance(placed, Refused) or await self._take_grants(placed.states, progress.rank):
                 return placed
+            wanted.denials += 1
 
     async def _attempt(
         self, progress: RequestProgress, placed: Placed, sink: AnswerSink
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -40,6 +40,10 @@
 _WORK_WEIGHT = 0.05
 """Weight of one answer in the running mean: the last 20 answers count most."""
 
+MOST_DENIALS = 5
+"""Grants denied in a row after which a request stops asking. Each takes a few milliseconds; where
+all endpoints are limited and used up, asking every one of them would be a wait by itself."""
+
 _LEAST_WAIT = 0.005
 """Shortest pause between two looks at the endpoints, in seconds."""
 
@@ -56,6 +60,7 @@
     :param begun: whether the caller has part of the answer; it then goes before all others and
         is refused only if nobody can go on.
     :param not_before: until when it leaves the room that there is to others that wait.
+    :param denials: grants that limited endpoints denied it since it last waited.
     """
 
     service: BackendService
@@ -67,6 +72,12 @@
     deadline: float
     begun: bool = False
     not_before: float = 0.0
+    denials: int = 0
+
+    @property
+    def asks_limited(self) -> bool:
+        """Whether it may still ask for grants, and not only go where none is needed."""
+        return self.denials < MOST_DENIALS
 
     @property
     def order(self) -> tuple[int, bool]:
@@ -153,7 +164,7 @@
         self._wanted: dict[str, list[WantedVersion]] = {}
         self._count_nodes = count_nodes
         self._update_interval = update_interval
-        self._snapshots: dict[ServiceName, Snapshot] = {}
+        self._snapshots: dict[tuple[ServiceName, bool], Snapshot] = {}
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
         """Take the time that a plain service needed for an answer."""
@@ -219,7 +230,7 @@
         self, request: PlacementRequest, tried: Collection[AgentId]
     ) -> Placed | Refused | None:
         now = read_clock()
-        snapshot = self._look(request.service, tried, now)
+        snapshot = self._look(request.service, tried, now, limited=request.asks_limited)
         choice, verdict = self._weigh(request, snapshot, now)
         if verdict is Verdict.SEND and choice is not None:
             chosen = snapshot.find(choice.key)
@@ -275,22 +286,29 @@
         left = request.deadline - now
         verdict = decide_limited_turn(turn.wait, least, elapsed, request.aim, left)
         if verdict is Verdict.HOLD:
+            request.denials = 0
             return None
         return Refused(f"rate limits leave room in {turn.wait:.2f} s", 0, turn)
 
-    def _look(self, service: BackendService, tried: Collection[AgentId], now: float) -> Snapshot:
-        """Return what is known of a service's endpoints now, or was a moment ago."""
+    def _look(
+        self, service: BackendService, tried: Collection[AgentId], now: float, *, limited: bool
+    ) -> Snapshot:
+        """Return what is known of a service's endpoints now, or was a moment ago.
+
+        :param limited: whether those with a rate limit count as well.
+        """
         revision = (self._endpoints.revision, self.required_version(service, now))
-        known = self._snapshots.get(service.name)
+        key = (service.name, limited)
+        known = self._snapshots.get(key)
         if known is not None and not tried and known.is_fresh(now, revision):
             return known
-        able = self._list_able(service, tried, now)
+        able = self._list_able(service, tried, now, limited=limited)
         work = self._work.get(service.name, WORK_SECONDS)
         loads = self._measure(able, service, now)
         opening = None if able else self._find_opening(service, tried, now)
         snapshot = Snapshot(now, revision, able, loads, service.engine, work, opening)
         if not tried:
-            self._snapshots[service.name] = snapshot
+            self._snapshots[key] = snapshot
         return snapshot
 
     def _weigh(
@@ -392,10 +410,12 @@
         return [replace(each, unseen=unseen) for each in loads]
 
     def _list_able(
-        self, service: BackendService, tried: Collection[AgentId], now: float
+        self, service: BackendService, tried: Collection[AgentId], now: float, *, limited: bool
     ) -> list[Able]:
         usable = self._list_usable(service, tried, now)
         states = [each for each in usable if each.denial.ask_after <= now]
+        if not limited:
+            states = [each for each in states if self._endpoints.find_limit(each) is None]
         required = self.required_version(service, now)
         return list_able(service, states, required, now, self._random)
 
@@ -407,14 +427,14 @@
             return None
         states = self._list_usable(service, tried, now)
         able = list_able(service, states, self.required_version(service, now), now, self._random)
-        limited = [each for each in able if each.state.denial.ask_after > now]
-        if not limited:
+        denied = [each for each in able if each.state.denial.ask_after > now]
+        if not denied:
             return None
-        rates = [self._endpoints.find_limit(each.state) or 0.0 for each in limited]
+        rates = [self._endpoints.find_limit(each.state) for each in able]
         return Opening(
-            at=min(each.state.denial.turn_at for each in limited),
-            rate=sum(max(LEAST_RATE, each) for each in rates),
-            least_urgent=max(limited, key=lambda each: each.state.denial.rank),
+            at=min(each.state.denial.turn_at for each in denied),
+            rate=sum(max(LEAST_RATE, each) for each in rates if each is not None),
+            least_urgent=max(denied, key=lambda each: each.state.denial.rank),
         )
 
     def _list_usable(
--- a/packages/wrenloft-routing/src/wrenloft_routing/_limiter.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_limiter.py
@@ -6,7 +6,6 @@
 
 from wrenloft_core import IncarnationId, NodeId, PlaceName, read_clock
 from wrenloft_policy import (
-    ASK_AGAIN_LONGEST,
     Bucket,
     RateLimit,
     allot_rate,
@@ -20,8 +19,8 @@
 MOST_BUCKETS = 8192
 """Buckets kept, about 4 MB; an endpoint without requests loses its bucket first."""
 
-WAITING_SECONDS = 2.0 * ASK_AGAIN_LONGEST
-"""How long a node that was denied counts as waiting, if it does not ask again."""
+WAITING_SECONDS = 0.5
+"""How long after its pause a node that was denied counts as waiting, if it does not ask again."""
 
 MISTAKEN_SECONDS = 0.2
 """Pause after a node was asked that is not the limiter, or that did not answer: nodes agree on who
@@ -118,10 +117,10 @@
                 waiting.pop(request.node, None)
             return Grant(granted=True)
         due = (needed - tokens) / rate
-        ask_again = pick_ask_again(due, self._random)
+        ahead = sum(rank == request.rank for rank in others)
+        ask_again = pick_ask_again(due, ahead / rate, self._random)
         rank = min(request.rank, known.rank)
         waiting[request.node] = _Waiting(rank, now + ask_again + WAITING_SECONDS)
-        ahead = sum(rank == request.rank for rank in others)
         return Grant(False, ask_again, due + ahead / rate)
 
     def _take_account(self, incarnation: IncarnationId, now: float) -> _Account:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -67,6 +67,7 @@
     identify_content,
 )
 from wrenloft_routing._endings import give_up
+from wrenloft_routing._gate import MOST_DENIALS
 from wrenloft_routing._request_progress import RequestProgress
 
 PLACE = PlaceName("p")
@@ -386,6 +387,31 @@
         assert float(bench.sink.headers["Retry-After"]) > 0
         assert read_clock() - begun < 0.1
 
+    async def test_request_asks_few_of_many_limited_endpoints(self) -> None:
+        """Guards against callers that wait while their node asks every endpoint in turn."""
+        bench = Bench()
+        many = [
+            Endpoint(AgentId(f"{PLAIN}-{n}"), PLAIN, f"a{n}:1", PLACE, REGION, 4) for n in range(40)
+        ]
+        bench.endpoints.update(many, trusted=True)
+        bench.limit(*range(40))
+        outcome = await bench.ask("safe")
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason.startswith("rate limits leave room in")
+        assert len(bench.asked) == MOST_DENIALS
+
+    async def test_request_that_was_denied_goes_where_no_grant_is_needed(self) -> None:
+        """Guards against refusing what an endpoint without a limit can take."""
+        bench = Bench(FakeReply([b"ok"]))
+        many = [
+            Endpoint(AgentId(f"{PLAIN}-{n}"), PLAIN, f"a{n}:1", PLACE, REGION, 4) for n in range(40)
+        ]
+        bench.endpoints.update(many, trusted=True)
+        bench.limit(*range(39))
+        await bench.ask("safe")
+        assert bench.sink.status == 200
+        assert bench.attempts[0].endpoint.agent_id == f"{PLAIN}-39"
+
     async def test_request_waits_for_a_turn_that_comes_soon(self) -> None:
         """Guards against refusing what can be answered in time a moment later."""
         bench = Bench(FakeReply([b"ok"]))
