Refuse at once, and serve fresh callers first, where all endpoints are limited

What callers would see, where every engine of a service names a limit and three times as much comes: refused after 0.53 s on average, with 'best of N needs' (which speaks of load), a third of them after their objective had passed; some were held for up to 5.5 s and then cut at their deadline.

Causes: requests yielded to others by the room of engines, though the limiter decides; a request behind another one in line waited without a turn worked out; callers who came back were as good as fresh ones at the limiter; the wait for a turn was bounded by the time left, which shrinks, and not by how long it had lasted.

Now the first in line asks; a turn counts those before it; urgency counts lateness; a full bucket serves anybody; late ones are refused while fresh ones are; the wait is a quarter of the time at most.

Tests: a bound on being held, late requests beside refused fresh ones.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -786,7 +786,7 @@
     Safeguard(
         "each try to a limited endpoint needs a grant",
         f"{ROUTING}/_forward.py",
-        "await self._take_grants(placed.states, progress.rank)",
+        "await self._take_grants(placed.states, wanted.urgency)",
         "True",
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits::test_every_try_asks_for_a_grant",
     ),
@@ -801,8 +801,8 @@
     Safeguard(
         "a request that limits leave no turn is refused at once",
         f"{ROUTING}/_gate.py",
-        "opening = None if able else self._find_opening(service, tried, now)",
-        "opening = None",
+        "if all(each.limited for each in loads):",
+        "if False:",
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_request_without_a_turn_is_refused_at_once",
     ),
@@ -831,7 +831,7 @@
     Safeguard(
         "the most urgent request gets the next grant",
         f"{ROUTING}/_limiter.py",
-        "needed = 1.0 + sum(rank < request.rank for rank in others)",
+        "needed = count_needed(sum(each < request.urgency for each in others), rate)",
         "needed = 1.0",
         f"{ROUTING_TESTS}/test_limiter.py::test_urgent_request_that_was_denied_goes_first",
     ),
@@ -870,7 +870,7 @@
     Safeguard(
         "a bucket holds little",
         f"{POLICY}/_rate_limits.py",
-        "return Bucket(min(most, bucket.tokens + earned), now)",
+        "return Bucket(min(measure_burst(rate), bucket.tokens + earned), now)",
         "return Bucket(bucket.tokens + earned, now)",
         f"{POLICY_TESTS}/test_rate_limits.py::TestRefillBucket"
         "::test_holds_little_however_long_nobody_came",
@@ -886,7 +886,7 @@
     Safeguard(
         "an urgent request asks where a less urgent one was denied",
         f"{ROUTING}/_gate.py",
-        "if opening is not None and request.rank < opening.least_urgent.state.denial.rank:",
+        "if choice is None and opening is not None and request.urgency < opening.urgency:",
         "if False:",
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_urgent_request_asks_where_a_less_urgent_one_was_denied",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_endpoints.py
@@ -95,7 +95,7 @@
     :param pace: how many times slower it is than its profile.
     :param suspect: whether requests sent from here failed there lately.
     :param connected: whether an idle connection to it is kept open.
-    :param room_limit: requests that it takes now at most, ``None`` if only its load decides.
+    :param limited: whether it takes a request only with a grant.
     """
 
     key: str
@@ -110,7 +110,7 @@
     unseen: float = 0.0
     unread_tokens: float | None = None
     connected: bool = True
-    room_limit: int | None = None
+    limited: bool = False
 
 
 REPORT_LAG_SECONDS = 0.25
@@ -253,12 +253,11 @@
     :param limit: seconds to the first event that are in time.
     """
     spare = limit - predict_answer(load, engine, engine.usual_prompt, 0.0).total
-    if spare < 0:
+    if spare < 0 or load.limited:
         return 0
     present = load.running + load.waiting + load.sent_since
     each = engine.usual_read if present < load.slots else engine.stream_seconds() / engine.slots
-    room = 1 + int(spare / each)
-    return room if load.room_limit is None else min(room, load.room_limit)
+    return 1 + int(spare / each)
 
 
 def share_room(room: int, fresh: int, late: int, *, late_ask: bool) -> float:
--- a/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
@@ -102,9 +102,27 @@
 
     :param rate: tokens a second.
     """
-    most = BURST_LEAST + BURST_SECONDS * rate
     earned = max(0.0, now - bucket.at) * rate
-    return Bucket(min(most, bucket.tokens + earned), now)
+    return Bucket(min(measure_burst(rate), bucket.tokens + earned), now)
+
+
+def measure_burst(rate: float) -> float:
+    """Return the tokens that a bucket holds at most.
+
+    :param rate: tokens a second.
+    """
+    return BURST_LEAST + BURST_SECONDS * rate
+
+
+def count_needed(more_urgent: int, rate: float) -> float:
+    """Return the tokens that a bucket must hold for a request to have one.
+
+    One is left for each node that waits with a more urgent request, unless the bucket is full:
+    what comes in then would be lost.
+
+    :param rate: tokens a second.
+    """
+    return min(1.0 + more_urgent, measure_burst(rate))
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,15 +220,17 @@
 
 
 def decide_limited_turn(
-    wait: float, least: float, elapsed: float, aim: float, left: float
+    wait: float, least: float, held: float, spent: float, aim: float, left: float
 ) -> Verdict:
     """Decide whether a request waits for its turn at limited endpoints or is refused at once.
 
     :param wait: seconds until its turn.
     :param least: seconds to the first byte at an idle endpoint.
-    :param elapsed: seconds since the caller's first attempt.
+    :param held: seconds for which it has waited here.
+    :param spent: seconds from the caller's first attempt until it came here.
     :param aim: seconds within which the answer has its full worth.
     :param left: seconds until nobody waits for the answer.
     """
-    in_time = elapsed + wait + least <= aim
-    return Verdict.HOLD if in_time or wait + least <= left * LATE_HOLD_SHARE else Verdict.REFUSE
+    needed = held + wait + least
+    in_time = spent + needed <= aim
+    return Verdict.HOLD if in_time or needed <= (held + left) * LATE_HOLD_SHARE else Verdict.REFUSE
--- a/packages/wrenloft-policy/tests/test_rate_limits.py
+++ b/packages/wrenloft-policy/tests/test_rate_limits.py
@@ -117,4 +117,11 @@
     def test_turn_that_comes_in_time_or_soon_enough_is_waited_for(
         self, wait: float, verdict: Verdict
     ) -> None:
-        assert decide_limited_turn(wait, 0.1, 0.0, 0.5, 6.0) is verdict
+        assert decide_limited_turn(wait, 0.1, 0.0, 0.0, 0.5, 6.0) is verdict
+
+    def test_nobody_is_held_for_long_by_turns_that_never_come(self) -> None:
+        """Guards against a request that is held until there is no time left to answer it."""
+        held = 0.0
+        while decide_limited_turn(0.1, 0.1, held, 0.0, 0.5, 6.0 - held) is Verdict.HOLD:
+            held += 0.05
+        assert held <= 1.5
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -117,12 +117,12 @@
 class Denial:
     """A grant that an endpoint's limiter denied.
 
-    :param rank: of the request; a more urgent one may ask before the pause is over.
+    :param urgency: of the request; a more urgent one may ask before the pause is over.
     :param ask_after: until when others do not ask.
     :param turn_at: when a request that waits would have its turn.
     """
 
-    rank: int
+    urgency: int
     ask_after: float
     turn_at: float
 
@@ -420,7 +420,7 @@
             suspect=state.suspect_until > now,
             unread_tokens=told.unread_tokens,
             connected=state.has_kept(now),
-            room_limit=None if self.find_limit(state) is None else 1,
+            limited=self.find_limit(state) is not None,
         )
         return load if all_heard else self._add_reported(load, state, now)
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -80,7 +80,7 @@
 TakeGrants = Callable[[Sequence[EndpointState], int], Awaitable[bool]]
 
 
-async def _need_no_grants(states: Sequence[EndpointState], rank: int) -> bool:
+async def _need_no_grants(states: Sequence[EndpointState], urgency: int) -> bool:
     return True
 
 
@@ -88,7 +88,8 @@
     """Takes callers' requests and sees each to its final answer.
 
     :param open_attempt: sends one attempt and returns the head of the answer.
-    :param take_grants: returns whether the rate limits of endpoints allow one request of a rank.
+    :param take_grants: returns whether the rate limits of endpoints allow one request, of an
+        urgency of which the lowest goes first.
     """
 
     def __init__(
@@ -228,7 +229,9 @@
         wanted = build_placement_request(progress, since)
         while True:
             placed = await self._gate.place(wanted, progress.tried)
-            if isinstance(placed, Refused) or await self._take_grants(placed.states, progress.rank):
+            if isinstance(placed, Refused):
+                return placed
+            if await self._take_grants(placed.states, wanted.urgency):
                 return placed
             wanted.denials += 1
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -44,6 +44,9 @@
 """Grants denied in a row after which a request stops asking. Each takes a few milliseconds; where
 all endpoints are limited and used up, asking every one of them would be a wait by itself."""
 
+FRESH_REFUSED_SECONDS = 1.0
+"""How long after a fresh request found no room at limited endpoints late ones do not wait there."""
+
 _LEAST_WAIT = 0.005
 """Shortest pause between two looks at the endpoints, in seconds."""
 
@@ -86,6 +89,12 @@
             return -1, False
         return self.rank, self.is_late
 
+    @property
+    def urgency(self) -> int:
+        """The same as one number; the lowest goes first."""
+        rank, late = self.order
+        return 2 * rank + late
+
     @property
     def is_late(self) -> bool:
         """Whether the answer comes late in any case."""
@@ -164,6 +173,7 @@
         self._wanted: dict[str, list[WantedVersion]] = {}
         self._count_nodes = count_nodes
         self._update_interval = update_interval
+        self._fresh_refused_at: dict[ServiceName, float] = {}
         self._snapshots: dict[tuple[ServiceName, bool], Snapshot] = {}
 
     def record_work(self, service: ServiceName, seconds: float) -> None:
@@ -237,10 +247,11 @@
             snapshot.count_sent(choice.key, request.prompt_tokens)
             return self._place_at(request, chosen, choice.prediction, len(snapshot.able), now)
         opening = snapshot.opening
-        if opening is not None and request.rank < opening.least_urgent.state.denial.rank:
+        if choice is None and opening is not None and request.urgency < opening.urgency:
             idle = self._predict_idle(request, snapshot.work)
             return self._place_at(request, opening.least_urgent, idle, 1, now)
-        if choice is None and (turn := self._find_turn(request, snapshot, now)) is not None:
+        turn = self._find_turn(request, snapshot, now)
+        if turn is not None:
             return self._decide_turn(request, turn, snapshot.work, now)
         if verdict is Verdict.REFUSE:
             known = len(self._endpoints.of_service(request.service.name))
@@ -272,7 +283,7 @@
         if opening is None:
             return None
         service = request.service.name
-        ahead = sum(each.order < request.order for each in self._waiting[service])
+        ahead = self._count_ahead(request)
         elsewhere = self._endpoints.others.queue_of(service)
         wait = max(0.0, opening.at - now) + (ahead + elsewhere.fresh) / opening.rate
         waiting = len(self._waiting[service]) + elsewhere.fresh + elsewhere.late
@@ -281,15 +292,22 @@
     def _decide_turn(
         self, request: PlacementRequest, turn: LimitedTurn, work: float, now: float
     ) -> Refused | None:
-        elapsed = now - request.since + request.spent
         least = self._measure_least(request, work)
-        left = request.deadline - now
-        verdict = decide_limited_turn(turn.wait, least, elapsed, request.aim, left)
+        held, left = now - request.since, request.deadline - now
+        verdict = decide_limited_turn(turn.wait, least, held, request.spent, request.aim, left)
+        if request.is_late and self._has_refused_fresh(request.service.name, now):
+            verdict = Verdict.REFUSE  # fresh ones take all there is
         if verdict is Verdict.HOLD:
             request.denials = 0
             return None
+        if not request.is_late:
+            self._fresh_refused_at[request.service.name] = now
         return Refused(f"rate limits leave room in {turn.wait:.2f} s", 0, turn)
 
+    def _has_refused_fresh(self, service: ServiceName, now: float) -> bool:
+        at = self._fresh_refused_at.get(service, -inf)
+        return now - at < FRESH_REFUSED_SECONDS
+
     def _look(
         self, service: BackendService, tried: Collection[AgentId], now: float, *, limited: bool
     ) -> Snapshot:
@@ -305,7 +323,9 @@
         able = self._list_able(service, tried, now, limited=limited)
         work = self._work.get(service.name, WORK_SECONDS)
         loads = self._measure(able, service, now)
-        opening = None if able else self._find_opening(service, tried, now)
+        opening = None
+        if all(each.limited for each in loads):
+            opening = self._find_opening(service, tried, now, limited=limited)
         snapshot = Snapshot(now, revision, able, loads, service.engine, work, opening)
         if not tried:
             self._snapshots[key] = snapshot
@@ -332,7 +352,10 @@
         if choice is not None:
             least = self._measure_least(request, work)
             urgent = any(each.order < request.order for each in self._waiting[request.service.name])
-            if not urgent and not self._must_yield(request, snapshot, request.aim * aim_share, now):
+            limit = request.aim * aim_share
+            # A limiter says itself who goes; yielding to others as well would be a wait in vain.
+            granted = snapshot.is_limited(choice.key)
+            if not urgent and (granted or not self._must_yield(request, snapshot, limit, now)):
                 needed = count_seconds(choice.prediction, engine)
         verdict = decide_turn(
             needed,
@@ -346,6 +369,13 @@
         )
         return choice, verdict
 
+    def _count_ahead(self, request: PlacementRequest) -> int:
+        """Count the requests that wait here and go before one."""
+        line = self._waiting[request.service.name]
+        place = line.index(request)
+        earlier = sum(each.order <= request.order for each in line[:place])
+        return earlier + sum(each.order < request.order for each in line[place + 1 :])
+
     def _must_yield(
         self, request: PlacementRequest, snapshot: Snapshot, limit: float, now: float
     ) -> bool:
@@ -420,21 +450,25 @@
         return list_able(service, states, required, now, self._random)
 
     def _find_opening(
-        self, service: BackendService, tried: Collection[AgentId], now: float
+        self, service: BackendService, tried: Collection[AgentId], now: float, *, limited: bool
     ) -> Opening | None:
-        """Return when endpoints that only their rate limits keep out take a request again."""
+        """Return when endpoints that only their rate limits keep out take a request again.
+
+        :param limited: whether a request may ask those that have not denied one.
+        """
         if not len(self._endpoints.limits):
             return None
         states = self._list_usable(service, tried, now)
         able = list_able(service, states, self.required_version(service, now), now, self._random)
-        denied = [each for each in able if each.state.denial.ask_after > now]
-        if not denied:
-            return None
         rates = [self._endpoints.find_limit(each.state) for each in able]
+        if not able or any(each is None for each in rates):
+            return None
+        pauses = [each.state.denial for each in able if each.state.denial.ask_after > now]
+        may_ask = not pauses or (limited and len(pauses) < len(able))
         return Opening(
-            at=min(each.state.denial.turn_at for each in denied),
+            at=now if may_ask else min(each.turn_at for each in pauses),
             rate=sum(max(LEAST_RATE, each) for each in rates if each is not None),
-            least_urgent=max(denied, key=lambda each: each.state.denial.rank),
+            least_urgent=max(able, key=lambda each: each.state.denial.urgency),
         )
 
     def _list_usable(
--- a/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
@@ -42,7 +42,7 @@
         self._session = session
         self._random = random
 
-    async def take(self, states: Sequence[EndpointState], rank: int) -> bool:
+    async def take(self, states: Sequence[EndpointState], urgency: int) -> bool:
         """Return whether a request may be sent through all of these endpoints now.
 
         One that is denied is passed over until its limiter may grant again.
@@ -53,12 +53,12 @@
                 continue
             endpoint = state.endpoint
             own = self._members.own.node_id
-            request = GrantRequest(endpoint.incarnation, endpoint.place, limit, rank, own)
+            request = GrantRequest(endpoint.incarnation, endpoint.place, limit, urgency, own)
             grant = await self._ask(request)
             GRANTS.labels("granted" if grant.granted else "denied").inc()
             if not grant.granted:
                 now = read_clock()
-                denial = Denial(rank, now + grant.ask_again, now + grant.turn)
+                denial = Denial(urgency, now + grant.ask_again, now + grant.turn)
                 self._endpoints.defer(state, denial)
                 return False
         return True
@@ -105,7 +105,7 @@
 def encode_grant_request(request: GrantRequest) -> list[Any]:
     """Return a question as a row."""
     limit = encode_limit(request.incarnation, request.limit)
-    return [limit, request.place, request.rank, request.node]
+    return [limit, request.place, request.urgency, request.node]
 
 
 def decode_grant_request(row: Any) -> GrantRequest:
@@ -114,9 +114,11 @@
     :raises ValueError: if it is none.
     """
     try:
-        limit_row, place, rank, node = row
+        limit_row, place, urgency, node = row
         incarnation, limit = decode_limit(limit_row)
-        return GrantRequest(incarnation, PlaceName(str(place)), limit, int(rank), NodeId(str(node)))
+        return GrantRequest(
+            incarnation, PlaceName(str(place)), limit, int(urgency), NodeId(str(node))
+        )
     except TypeError as error:
         raise ValueError(f"no question: {error!r}") from error
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_limiter.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_limiter.py
@@ -9,6 +9,7 @@
     Bucket,
     RateLimit,
     allot_rate,
+    count_needed,
     pick_ask_again,
     pick_limiter,
     refill_bucket,
@@ -33,13 +34,13 @@
 
     :param place: the endpoint's availability zone.
     :param limit: as the asking node knows it.
-    :param rank: of the request, 0 for the most urgent.
+    :param urgency: of the request; the lowest goes first.
     """
 
     incarnation: IncarnationId
     place: PlaceName
     limit: RateLimit
-    rank: int
+    urgency: int
     node: NodeId
 
 
@@ -59,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
-    rank: int
+    urgency: int
     until: float
 
 
@@ -107,20 +108,20 @@
         waiting = account.waiting
         for node in [node for node, each in waiting.items() if each.until <= now]:
             del waiting[node]
-        known = waiting.get(request.node, _Waiting(request.rank, now))
-        others = [each.rank for node, each in waiting.items() if node != request.node]
-        needed = 1.0 + sum(rank < request.rank for rank in others)
+        known = waiting.get(request.node, _Waiting(request.urgency, now))
+        others = [each.urgency for node, each in waiting.items() if node != request.node]
+        needed = count_needed(sum(each < request.urgency for each in others), rate)
         tokens = account.bucket.tokens
         if tokens >= needed:
             account.bucket = Bucket(tokens - 1.0, now)
-            if request.rank <= known.rank:
+            if request.urgency <= known.urgency:
                 waiting.pop(request.node, None)
             return Grant(granted=True)
         due = (needed - tokens) / rate
-        ahead = sum(rank == request.rank for rank in others)
+        ahead = sum(each == request.urgency for each in others)
         ask_again = pick_ask_again(due, ahead / rate, self._random)
-        rank = min(request.rank, known.rank)
-        waiting[request.node] = _Waiting(rank, now + ask_again + WAITING_SECONDS)
+        urgency = min(request.urgency, known.urgency)
+        waiting[request.node] = _Waiting(urgency, now + ask_again + WAITING_SECONDS)
         return Grant(False, ask_again, due + ahead / rate)
 
     def _take_account(self, incarnation: IncarnationId, now: float) -> _Account:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_snapshot.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_snapshot.py
@@ -30,6 +30,11 @@
     rate: float
     least_urgent: Able
 
+    @property
+    def urgency(self) -> int:
+        """Of that request; a more urgent one may ask there at once."""
+        return self.least_urgent.state.denial.urgency
+
 
 @dataclass(slots=True)
 class Snapshot:
@@ -38,7 +43,7 @@
     :param revision: of what is known of endpoints beyond their loads, and the oldest version on
         which requests may begin.
     :param work: seconds of work on a request at a plain service.
-    :param opening: set if none is able and only rate limits keep some out.
+    :param opening: set if all that could take a request have rate limits.
     """
 
     taken_at: float
@@ -74,6 +79,10 @@
         """Return an endpoint by its id."""
         return self.able[self._index[AgentId(key)]]
 
+    def is_limited(self, key: str) -> bool:
+        """Whether an endpoint takes a request only with a grant."""
+        return self.loads[self._index[AgentId(key)]].limited
+
     def count_room(self, engine: EngineProfile, limit: float) -> int:
         """Count the usual requests that all of them could take with a first event in time."""
         room = self._rooms.get(limit)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -412,6 +412,17 @@
         assert bench.sink.status == 200
         assert bench.attempts[0].endpoint.agent_id == f"{PLAIN}-39"
 
+    async def test_late_request_does_not_wait_where_fresh_ones_are_refused(self) -> None:
+        """Guards against callers that come back and wait for room that others take."""
+        bench = Bench()
+        bench.limit(0, 1, 2, turn=0.3)
+        await bench.ask("safe", patience=2.0)
+        bench.sink = FakeSink()
+        begun = read_clock()
+        await bench.ask("safe", patience=1.5)
+        assert bench.sink.status == 503
+        assert read_clock() - begun < 0.05
+
     async def test_request_waits_for_a_turn_that_comes_soon(self) -> None:
         """Guards against refusing what can be answered in time a moment later."""
         bench = Bench(FakeReply([b"ok"]))
