Let urgent requests ask as few limited endpoints as others

Shown by test_request_asks_few_of_many_limited_endpoints, which now asks for an urgent request as well: it asked one more than allowed for each endpoint that had denied a less urgent one (10 questions for 5, up to all of them).

--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -246,7 +246,7 @@
             chosen = snapshot.find(choice.key)
             snapshot.count_sent(choice.key, request.prompt_tokens)
             return self._place_at(request, chosen, choice.prediction, len(snapshot.able), now)
-        opening = snapshot.opening
+        opening = snapshot.opening if request.asks_limited else None
         if choice is None and opening is not None and request.urgency < opening.urgency:
             idle = self._predict_idle(request, snapshot.work)
             return self._place_at(request, opening.least_urgent, idle, 1, now)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -395,10 +395,13 @@
         ]
         bench.endpoints.update(many, trusted=True)
         bench.limit(*range(40))
-        outcome = await bench.ask("safe")
-        assert isinstance(outcome, NotRun)
-        assert outcome.reason.startswith("rate limits leave room in")
-        assert len(bench.asked) == MOST_DENIALS
+        for rule in ("safe", "alarm"):
+            bench.asked.clear()
+            bench.sink = FakeSink()
+            outcome = await bench.ask(rule)
+            assert isinstance(outcome, NotRun)
+            assert outcome.reason.startswith("rate limits leave room in")
+            assert len(bench.asked) == MOST_DENIALS
 
     async def test_request_that_was_denied_goes_where_no_grant_is_needed(self) -> None:
         """Guards against refusing what an endpoint without a limit can take."""
