--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -937,12 +938,13 @@
         env={**os.environ, "PYTHONPATH": list_sources(copy)},
         stdout=asyncio.subprocess.DEVNULL,
         stderr=asyncio.subprocess.DEVNULL,
+        start_new_session=True,
     )  # fmt: skip
     try:
         async with asyncio.timeout(TEST_SECONDS):
             return await handle.wait() == 1
     except TimeoutError:
-        handle.kill()
+        os.killpg(handle.pid, signal.SIGKILL)  # with the programs that the test has started
         await handle.wait()
         return True  # what it waits for never comes without the safeguard
 
