Name an answer after which the connection closes `closing`, not `leaving`

No behaviour changes. `Reply.leaving` meant `Connection: close`, which endpoints that stay send as well; the name is needed for endpoints that say that they leave.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -105,7 +105,8 @@
 class Reply(Protocol):
     """The head of an endpoint's answer, with its body still to be read.
 
-    ``genuine`` is whether it is the endpoint's answer to this request.
+    ``genuine`` is whether it is the endpoint's answer to this request, ``closing`` whether the
+    endpoint closes the connection after it.
     """
 
     status: int
@@ -114,7 +115,7 @@
     named_limit: AdvertisedLimit | None
     genuine: bool
     is_stream: bool
-    leaving: bool
+    closing: bool
 
     async def read_whole(self) -> bytes:
         """Return the body.
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -447,7 +447,7 @@
     async def _release_connection(state: EndpointState, reply: Reply) -> None:
         """Keep the connection of a complete answer open for another request."""
         await reply.close(reusable=True)
-        if not reply.leaving:
+        if not reply.closing:
             state.push_idle_connection(read_clock())
 
     async def _drain(self, reply: Reply) -> None:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -90,7 +90,7 @@
     named_limit: AdvertisedLimit | None = None
     genuine: bool = True
     is_stream: bool = False
-    leaving: bool = False
+    closing: bool = False
     closed: list[bool] = field(default_factory=list)
 
     async def read_whole(self) -> bytes:
