Show which endpoint says that it leaves, and when a node knew of it

The logs couldn't tell a node that had read such an answer from one that hadn't.

No decision changes.

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -63,6 +63,7 @@
     list_span_chunks,
     split_layers,
 )
+from wrenloft_policy._notices import NO_NOTICE, EndpointNotice
 from wrenloft_policy._ownership import Lease, choose_owner, rank_owners
 from wrenloft_policy._placement import Host, Placement, choose_hosts, matches
 from wrenloft_policy._queue import FairQueue, QueuedRequest, estimate_wait
@@ -133,6 +134,7 @@
     "MAX_PROBE_INTERVAL_SECONDS",
     "MIN_ENDPOINT_RATE",
     "MIN_FRAME_SECONDS",
+    "NO_NOTICE",
     "ORIGIN_FETCHERS",
     "OVERDUE_OBJECTIVE_SHARE",
     "PROBE_INTERVAL_SECONDS",
@@ -156,6 +158,7 @@
     "Ejections",
     "EndpointChoice",
     "EndpointLoad",
+    "EndpointNotice",
     "EngineProfile",
     "EntryNode",
     "FairQueue",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 
-from prometheus_client import Gauge
+from prometheus_client import Counter, Gauge
 
 from wrenloft_core import (
     AgentId,
@@ -24,6 +24,7 @@
     REPORT_LAG_SECONDS,
     AdvertisedLimit,
     EndpointLoad,
+    EndpointNotice,
     LayerSpan,
 )
 from wrenloft_routing._limit_ledger import LimitLedger
@@ -49,6 +50,10 @@
     ["endpoint"],
 )
 
+NOTICES = Counter(
+    "wrenloft_endpoint_notices", "Answers by what they say of their endpoint", ["notice"]
+)
+
 MAX_SENT_TIMES = 64
 """Times of sent requests kept per endpoint: four times an engine's slots, sent within a second."""
 
@@ -142,10 +147,12 @@
         engine.
     :param idle_since: since when each connection to it has been idle.
     :param denial: the latest denied grant: its rate limit is used up.
+    :param leaving_stated_at: when an answer first said that it leaves, ``None`` if none did.
     """
 
     endpoint: Endpoint
     leaving: bool = False
+    leaving_stated_at: float | None = None
     in_progress: InProgress = NO_LOAD
     failures: int = 0
     suspect_until: float = 0.0
@@ -354,6 +361,20 @@
             state.header_load = load
             state.header_at = now
 
+    def record_notice(self, state: EndpointState, notice: EndpointNotice, now: float) -> None:
+        """Record what an answer says of its endpoint."""
+        if notice.leaving:
+            NOTICES.labels("leaving").inc()
+            if state.leaving_stated_at is None:
+                state.leaving_stated_at = now
+                note(
+                    _LOG,
+                    "endpoint says that it leaves",
+                    endpoint=state.endpoint.agent_id,
+                    born=state.endpoint.born,
+                    leaving=state.leaving,
+                )
+
     def find_rate_limit(self, state: EndpointState) -> float | None:
         """Return the requests per second that an endpoint takes, ``None`` if it has no limit."""
         return self.limits.find_rate(state.endpoint.incarnation) if self.limits else None
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from wrenloft_core import OrganisationName, RequestId
-from wrenloft_policy import AdvertisedLimit
+from wrenloft_policy import NO_NOTICE, AdvertisedLimit, EndpointNotice
 from wrenloft_routing._chains import ChainStage
 from wrenloft_routing._endpoints import Endpoint
 
@@ -76,6 +76,7 @@
     :param misdirected: whether the endpoint, or its version, is not the one that was addressed.
     :param address: of the engine of a chain at which it failed, ``None`` for the first.
     :param named_limit: the rate limit that the endpoint named, ``None`` if it named none.
+    :param notice: what the endpoint said of itself.
     """
 
     reason: str
@@ -83,6 +84,7 @@
     load: tuple[int, int, int] | None = None
     address: str | None = None
     named_limit: AdvertisedLimit | None = None
+    notice: EndpointNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +115,7 @@
     headers: Headers
     load: tuple[int, int, int] | None
     named_limit: AdvertisedLimit | None
+    notice: EndpointNotice
     genuine: bool
     is_stream: bool
     closing: bool
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -386,6 +386,7 @@
         """Retry a rejected request elsewhere if the budget allows; it has not run."""
         now = read_clock()
         self._endpoints.record_header_load(state, result.load, now)
+        self._endpoints.record_notice(state, result.notice, now)
         if result.named_limit is not None and not result.misdirected:
             self._endpoints.record_limit(state, result.named_limit, limit_known=True)
         for each in at_fault:
@@ -418,6 +419,7 @@
         progress.attempts += 1
         now = read_clock()
         self._endpoints.record_header_load(state, reply.load, now)
+        self._endpoints.record_notice(state, reply.notice, now)
         if reply.named_limit is not None or (reply.genuine and reply.status < 500):
             self._endpoints.record_limit(state, reply.named_limit, limit_known=progress.limit_known)
         try:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -27,8 +27,10 @@
 )
 from wrenloft_policy import (
     ANSWERS_TO_CLEAR_LIMIT,
+    NO_NOTICE,
     AdvertisedLimit,
     Crash,
+    EndpointNotice,
     EngineProfile,
     LayerSpan,
     WantedVersion,
@@ -88,6 +90,7 @@
     headers: Headers = (("X-Stamp", "s"),)
     load: tuple[int, int, int] | None = None
     named_limit: AdvertisedLimit | None = None
+    notice: EndpointNotice = NO_NOTICE
     genuine: bool = True
     is_stream: bool = False
     closing: bool = False
