Show which endpoint asks a node for rest, and when a node knew of it

The logs couldn't tell a node that had read the time of such a 503 from one that took it for a full endpoint. A 503 with Retry-After is read: `endpoint rest begun` and `endpoint rest extended` bear the seconds asked for and what was left, each `attempt` line `rest_left_ms`; a header that is no duration is logged and counted.

No decision changes.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -54,6 +54,12 @@
     "wrenloft_endpoint_notices", "Answers by what they say of their endpoint", ["notice"]
 )
 
+MAX_REST_SECONDS = 86400.0
+"""Longest rest that is kept to. An endpoint that asks for years by mistake is asked again daily."""
+
+MAX_LOGGED_TEXT = 40
+"""Characters of an unreadable header that are logged."""
+
 MAX_SENT_TIMES = 64
 """Times of sent requests kept per endpoint: four times an engine's slots, sent within a second."""
 
@@ -148,11 +154,13 @@
     :param idle_since: since when each connection to it has been idle.
     :param denial: the latest denied grant: its rate limit is used up.
     :param leaving_stated_at: when an answer first said that it leaves, ``None`` if none did.
+    :param rest_until: until when it wants no requests from this node.
     """
 
     endpoint: Endpoint
     leaving: bool = False
     leaving_stated_at: float | None = None
+    rest_until: float = 0.0
     in_progress: InProgress = NO_LOAD
     failures: int = 0
     suspect_until: float = 0.0
@@ -374,6 +382,28 @@
                     born=state.endpoint.born,
                     leaving=state.leaving,
                 )
+        if notice.rest:
+            NOTICES.labels("rest").inc()
+            self._record_rest(state, notice.rest, now)
+        if notice.unreadable:
+            NOTICES.labels("unreadable").inc()
+            text = notice.unreadable[:MAX_LOGGED_TEXT]
+            note(_LOG, "cannot parse rest", endpoint=state.endpoint.agent_id, text=text)
+
+    def _record_rest(self, state: EndpointState, seconds: float, now: float) -> None:
+        """Record a rest. A shorter one doesn't end an earlier one, which was also asked for."""
+        until = now + min(seconds, MAX_REST_SECONDS)
+        if until <= state.rest_until:
+            return
+        note(
+            _LOG,
+            "endpoint rest extended" if state.rest_until > now else "endpoint rest begun",
+            endpoint=state.endpoint.agent_id,
+            born=state.endpoint.born,
+            seconds=seconds,
+            left_before_ms=round(max(0.0, state.rest_until - now) * 1000),
+        )
+        state.rest_until = until
 
     def find_rate_limit(self, state: EndpointState) -> float | None:
         """Return the requests per second that an endpoint takes, ``None`` if it has no limit."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -65,6 +65,7 @@
         rate_limit=rate_limit,
         sent_before=state.count_sent(now - RATE_WINDOW_SECONDS) - 1,
         leaving_ms=_measure_age_ms(state.leaving_stated_at, now),
+        rest_left_ms=round(max(0.0, state.rest_until - now) * 1000),
         chain=[each.state.endpoint.agent_id for each in placed.chain],
         resumed_after=progress.stream.last_event,
     )
