--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import count
+from math import inf
 from typing import Any
 
 import pytest
@@ -304,6 +305,43 @@
         )
 
 
+@dataclass
+class NoticingEndpoint(StandinEndpoint):
+    """An endpoint that says in its answers that it leaves, or rejects requests and asks for rest.
+
+    :param leaving: value of the header, ``None`` if it doesn't leave.
+    :param rest: ``Retry-After`` header lines of its rejections; it accepts requests if empty.
+    :param arrivals: sending node and time of each request, on the loop's clock.
+    :param noticed: the same of each request that was answered with a notice.
+    """
+
+    leaving: str | None = None
+    rest: list[str] = field(default_factory=list)
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    noticed: list[tuple[str, float]] = field(default_factory=list)
+
+    def next_answer(self) -> bytes | None:
+        # Requests of tests are named after the node that they are sent to.
+        node = self.received[-1].headers["x-attempt-id"].partition(".")[0]
+        arrival = node, asyncio.get_running_loop().time()
+        self.arrivals.append(arrival)
+        if self.leaving is not None or self.rest:
+            self.noticed.append(arrival)
+        extra = b"" if self.leaving is None else f"Server-Leaving: {self.leaving}\r\n".encode()
+        if not self.rest:
+            return full_response(b"ok", extra=extra)
+        extra += "".join(f"Retry-After: {each}\r\n" for each in self.rest).encode()
+        return full_response(b"", "503 Service Unavailable", extra + b"X-Not-Executed: 1\r\n")
+
+    def find_noticed_at(self, node: str) -> float:
+        """Return when a node first got an answer with a notice."""
+        return min((at for name, at in self.noticed if name == node), default=inf)
+
+    def count_arrivals(self, node: str, start: float, end: float = inf) -> int:
+        """Return the number of a node's requests in a period."""
+        return sum(name == node and start < at <= end for name, at in self.arrivals)
+
+
 class CrashSign(Enum):
     """How the other side sees a crash.
 
