Send nothing more to an endpoint whose answer says that it leaves

What callers saw: requests sent to an endpoint up to 12 s after its answers had told the node that it leaves; once it exits, such requests are lost. Cause: leaving was learnt from the store's list alone. The endpoint can't tell the store while that is down, and the header in its answers was not used. Ruled out: sends that bypass the decision (no second attempts, no resumed streams), and forgetting (no pause). Change: each answer, rejection and head of a stream is read; DepartureLedger keeps the latest incarnation of each endpoint that is known to leave, from the list or an answer, and replaces the set that was kept for the list alone. Placing, queued requests, second attempts, resumed streams and chains all go by it, and what waited for a grant is placed anew. A rejection that names another engine of a chain says nothing of the first. The test now picks the endpoint that the nodes use: in one run none of them used the one it had fixed, and nothing was checked; that run failed at its own guard.

--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -12,6 +12,7 @@
     ReportedCrash,
 )
 from wrenloft_routing._crash_routes import CrashRoutes
+from wrenloft_routing._departures import Departure, DepartureLedger, DepartureSource
 from wrenloft_routing._endpoints import (
     IDLE_CONNECTION_SECONDS,
     NO_DENIAL,
@@ -110,6 +111,9 @@
     "CrashSource",
     "CrashUpdates",
     "Denial",
+    "Departure",
+    "DepartureLedger",
+    "DepartureSource",
     "Eligible",
     "Endpoint",
     "EndpointFailure",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -27,6 +27,7 @@
     EndpointNotice,
     LayerSpan,
 )
+from wrenloft_routing._departures import Departure, DepartureLedger, DepartureSource
 from wrenloft_routing._limit_ledger import LimitLedger
 from wrenloft_routing._loads import NO_LOAD, InProgress, PeerLoads
 
@@ -153,13 +154,12 @@
         engine.
     :param idle_since: since when each connection to it has been idle.
     :param denial: the latest denied grant: its rate limit is used up.
-    :param leaving_stated_at: when an answer first said that it leaves, ``None`` if none did.
+    :param departure: set once it is leaving.
     :param rest_until: until when it wants no requests from this node.
     """
 
     endpoint: Endpoint
-    leaving: bool = False
-    leaving_stated_at: float | None = None
+    departure: Departure | None = None
     rest_until: float = 0.0
     in_progress: InProgress = NO_LOAD
     failures: int = 0
@@ -175,6 +175,11 @@
     idle_since: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_SENT_TIMES))
     denial: Denial = NO_DENIAL
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it is leaving, and takes no new requests."""
+        return self.departure is not None
+
     def push_idle_connection(self, now: float) -> None:
         """Record that a connection to it was left open and idle."""
         self.idle_since.append(now)
@@ -242,7 +247,7 @@
         self._place = place
         self._region = region
         self._states: dict[AgentId, EndpointState] = {}
-        self._left_born: dict[AgentId, int] = {}
+        self.departures = DepartureLedger()
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._by_address: dict[str, list[EndpointState]] = {}
         self.peer_loads = PeerLoads()
@@ -289,8 +294,8 @@
             note(_LOG, "endpoint started again", endpoint=agent_id, born=endpoint.born)
             state = None
         if state is None:
-            leaving = self._left_born.get(agent_id, -1) >= endpoint.born
-            state = EndpointState(endpoint, leaving=leaving)
+            departure = self.departures.find(agent_id, endpoint.born)
+            state = EndpointState(endpoint, departure=departure)
             self._states[agent_id] = state
             _export_rate_limit(agent_id, self.find_rate_limit(state))
             note(
@@ -301,14 +306,18 @@
                 address=endpoint.address,
             )
         state.endpoint = endpoint
-        if endpoint.leaving and not state.leaving:
-            self._mark_leaving(state)
+        if endpoint.leaving:
+            self.record_departure(agent_id, endpoint.born, DepartureSource.LIST)
 
-    def _mark_leaving(self, state: EndpointState) -> None:
-        """Exclude this incarnation, whatever the list says later."""
-        self._left_born[state.endpoint.agent_id] = state.endpoint.born
-        state.leaving = True
-        note(_LOG, "endpoint leaving", endpoint=state.endpoint.agent_id, born=state.endpoint.born)
+    def record_departure(self, agent_id: AgentId, born: int, source: DepartureSource) -> None:
+        """Exclude an incarnation from new requests, whatever the list says later."""
+        departure = self.departures.record(agent_id, born, source)
+        state = self._states.get(agent_id)
+        if departure is None or state is None or state.endpoint.born > born:
+            return
+        state.departure = departure
+        self.mark_changed()
+        self.wake_waiting()
 
     def _index(self) -> None:
         self._by_service = {}
@@ -373,15 +382,8 @@
         """Record what an answer says of its endpoint."""
         if notice.leaving:
             NOTICES.labels("leaving").inc()
-            if state.leaving_stated_at is None:
-                state.leaving_stated_at = now
-                note(
-                    _LOG,
-                    "endpoint says that it leaves",
-                    endpoint=state.endpoint.agent_id,
-                    born=state.endpoint.born,
-                    leaving=state.leaving,
-                )
+            endpoint = state.endpoint
+            self.record_departure(endpoint.agent_id, endpoint.born, DepartureSource.ANSWER)
         if notice.rest:
             NOTICES.labels("rest").inc()
             self._record_rest(state, notice.rest, now)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -232,9 +232,10 @@
             placed = await self._gate.place(placement, progress.tried)
             if isinstance(placed, Refused):
                 return placed
-            if await self._request_grants(placed.states, placement.urgency):
+            if not await self._request_grants(placed.states, placement.urgency):
+                placement.denials += 1
+            elif not any(each.leaving for each in placed.states):
                 return placed
-            placement.denials += 1
 
     async def _attempt(
         self, progress: RequestProgress, placed: Placed, sink: AnswerSink
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -64,17 +64,13 @@
         version=placed.version,
         rate_limit=rate_limit,
         sent_before=state.count_sent(now - RATE_WINDOW_SECONDS) - 1,
-        leaving_ms=_measure_age_ms(state.leaving_stated_at, now),
+        leaving_ms=None if state.departure is None else round((now - state.departure.at) * 1000),
         rest_left_ms=round(max(0.0, state.rest_until - now) * 1000),
         chain=[each.state.endpoint.agent_id for each in placed.chain],
         resumed_after=progress.stream.last_event,
     )
 
 
-def _measure_age_ms(at: float | None, now: float) -> int | None:
-    return None if at is None else round((now - at) * 1000)
-
-
 def record_outcome(
     request: CallerRequest, kind: str, outcome: Outcome, progress: RequestProgress | None
 ) -> None:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -356,6 +356,94 @@
     return services
 
 
+class TestLeaving:
+    """Tests of endpoints that say in an answer that they leave."""
+
+    LEAVING = EndpointNotice(leaving=True)
+
+    @pytest.mark.parametrize(
+        "told",
+        [
+            FakeReply([b"ok"], notice=LEAVING),
+            FakeReply([b"no"], status=404, notice=LEAVING),
+            FakeReply([b"no"], status=500, notice=LEAVING),
+            FakeReply([b"x"], genuine=False, notice=LEAVING),
+            FakeReply([b"x", ReplyBrokenError("cut")], notice=LEAVING),
+            Rejected("status 503", misdirected=False, notice=LEAVING),
+            Rejected("status 421", misdirected=True, notice=LEAVING),
+        ],
+    )
+    async def test_endpoint_gets_nothing_after_any_answer_that_says_so(self, told: Any) -> None:
+        """Guards against kinds of answer from which leaving is not learnt."""
+        harness = Harness(told, *(FakeReply([b"ok"]) for _ in range(20)))
+        await harness.send("once")
+        leaving = harness.attempts[0].endpoint.agent_id
+        for _ in range(19):
+            harness.sink = FakeSink()
+            await harness.send("safe")
+        assert leaving not in [each.endpoint.agent_id for each in harness.attempts[1:]]
+
+    async def test_stream_that_says_so_is_forwarded_and_resumed_elsewhere(self) -> None:
+        """Guards against resuming a stream at the endpoint that ended it by leaving."""
+        told = FakeReply([_events(0), ReplyBrokenError("cut")], is_stream=True, notice=self.LEAVING)
+        harness = Harness(told, FakeReply([_events(1)], is_stream=True))
+        await harness.send("stream")
+        assert harness.sink.body == _events(0, 1)
+        first, second = harness.attempts
+        assert first.endpoint.agent_id != second.endpoint.agent_id
+
+    async def test_request_that_waits_for_a_grant_goes_elsewhere(self) -> None:
+        """Guards against sending what was placed before the endpoint said that it leaves."""
+        harness = Harness(FakeReply([b"ok"]))
+        placed: list[AgentId] = []
+
+        async def grant(states: Sequence[EndpointState], urgency: int) -> bool:
+            placed.append(states[0].endpoint.agent_id)
+            if len(placed) == 1:
+                harness.endpoints.record_notice(states[0], self.LEAVING, read_clock())
+            return True
+
+        harness.forwarder._request_grants = grant
+        await harness.send("safe")
+        assert harness.sink.status == 200
+        assert harness.attempts[0].endpoint.agent_id == placed[1] != placed[0]
+
+    async def test_queued_request_goes_elsewhere(self) -> None:
+        """Guards against requests that wait for an endpoint that is about to end."""
+        harness = Harness(FakeReply([b"ok"]))
+        states = harness.endpoints.of_service(PLAIN)
+        for state in states:
+            harness.endpoints.record_full(state, read_clock() + 60.0)
+        sending = asyncio.create_task(harness.send("safe"))
+        await asyncio.sleep(0.005)
+        harness.endpoints.record_notice(states[0], self.LEAVING, read_clock())
+        for state in states[:2]:
+            state.full_until = 0.0
+        harness.endpoints.mark_changed()
+        await sending
+        assert harness.attempts[0].endpoint.agent_id == states[1].endpoint.agent_id
+
+    async def test_requests_are_refused_when_all_endpoints_leave(self) -> None:
+        """Guards against sending to a leaving endpoint for lack of another."""
+        harness = Harness()
+        for state in harness.endpoints.of_service(PLAIN):
+            harness.endpoints.record_notice(state, self.LEAVING, read_clock())
+        assert isinstance(await harness.send("safe"), NotRun)
+        assert harness.sink.status == 503
+        assert float(harness.sink.headers["Retry-After"]) > 0
+        assert not harness.attempts
+
+    async def test_chain_avoids_a_leaving_engine(self) -> None:
+        """Guards against reaching a leaving engine through another one."""
+        harness = Harness()
+        harness.set_spans({0: LayerSpan(0, 8), 1: LayerSpan(8, 16), 2: LayerSpan(8, 8)})
+        leaving = harness.endpoints.get(AgentId(f"{ENGINES}-1"))
+        assert leaving is not None
+        harness.endpoints.record_notice(leaving, self.LEAVING, read_clock())
+        assert isinstance(await harness.send("stream"), NotRun)
+        assert not harness.attempts
+
+
 class TestRateLimits:
     """Tests of requests to endpoints that name a rate limit."""
 
--- a/packages/wrenloft-routing/tests/test_local_state.py
+++ b/packages/wrenloft-routing/tests/test_local_state.py
@@ -18,8 +18,9 @@
     Signal,
     read_clock,
 )
-from wrenloft_policy import ALL_LAYERS
+from wrenloft_policy import ALL_LAYERS, EndpointNotice
 from wrenloft_routing import (
+    DepartureSource,
     Endpoint,
     Endpoints,
     EngineReport,
@@ -39,6 +40,7 @@
 PLACE = PlaceName("p")
 REGION = RegionName("r")
 SERVICE = ServiceName("s")
+LEAVING = EndpointNotice(leaving=True)
 
 
 def _endpoint(name: str, **changes: Any) -> Endpoint:
@@ -78,6 +80,52 @@
         endpoints.update([_endpoint("a")], trusted=True)
         assert endpoints.of_service(SERVICE)[0].leaving
 
+    @pytest.mark.parametrize(
+        "contradict",
+        [
+            lambda: [_endpoint("a", born=5)],
+            lambda: [],
+            lambda: [_endpoint("a", born=4)],
+            lambda: [_endpoint("a", born=5, address="b:1")],
+        ],
+        ids=["ready", "missing", "earlier start", "other address"],
+    )
+    def test_leaving_told_by_an_answer_outlives_what_the_list_says(
+        self, contradict: Callable[[], list[Endpoint]]
+    ) -> None:
+        """Guards against requests to a leaving endpoint whose entry is older than its answer."""
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a", born=5)], trusted=True)
+        endpoints.record_notice(endpoints.of_service(SERVICE)[0], LEAVING, read_clock())
+        endpoints.update(contradict(), trusted=True)
+        endpoints.update([_endpoint("a", born=5)], trusted=True)
+        assert endpoints.of_service(SERVICE)[0].leaving
+
+    @pytest.mark.parametrize(
+        "next_endpoint",
+        [_endpoint("a", born=6), _endpoint("b", address="a:1", born=5)],
+        ids=["same id", "same address"],
+    )
+    def test_leaving_ends_with_the_incarnation(self, next_endpoint: Endpoint) -> None:
+        """Guards against excluding the endpoint that takes the place of one that has left."""
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a", born=5)], trusted=True)
+        left = endpoints.of_service(SERVICE)[0]
+        endpoints.record_notice(left, LEAVING, read_clock())
+        endpoints.update([next_endpoint], trusted=True)
+        endpoints.record_notice(left, LEAVING, read_clock())
+        (state,) = endpoints.of_service(SERVICE)
+        assert not state.leaving
+
+    def test_departures_are_bounded(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against memory that grows with every endpoint that has ever left."""
+        monkeypatch.setattr("wrenloft_routing._departures.MAX_DEPARTURES", 3)
+        endpoints = Endpoints(PLACE, REGION)
+        for number in range(5):
+            endpoints.record_departure(AgentId(f"e{number}"), 0, DepartureSource.ANSWER)
+        found = [endpoints.departures.find(AgentId(f"e{number}"), 0) for number in range(5)]
+        assert [each is not None for each in found] == [False, False, True, True, True]
+
     def test_missing_entry_is_gone_only_if_the_snapshot_is_trusted(self) -> None:
         """Entries expire during an outage of the store while their endpoints still serve.
 
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -88,8 +88,8 @@
     fleet: Fleet, store_down: bool
 ) -> None:
     """Guards against endpoints whose leaving is learnt from the store alone."""
-    leaving = fleet.endpoints[0]
     await fleet.load(20.0, 1.0)
+    leaving = max(fleet.endpoints, key=lambda each: len(each.arrivals))
     fleet.store.refuse = store_down
     leaving.leaving = "1"
     answers = await fleet.load(20.0, DRAIN_SECONDS + 4.0)
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -272,3 +272,54 @@
 
 def test_response_without_the_header_has_no_limit() -> None:
     assert parse_named_limit([]) is None
+
+
+REJECTED = b"X-Not-Executed: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("status", "extra", "leaving"),
+    [
+        ("200 OK", b"Server-Leaving: 1\r\n", True),
+        ("200 OK", b"", False),
+        ("200 OK", b"Server-Leaving: 0\r\n", False),
+        ("200 OK", b"Server-Leaving: 0\r\nServer-Leaving: 1\r\n", True),
+        ("404 Not Found", b"server-leaving: 1\r\n", True),
+        ("500 Internal Server Error", b"Server-Leaving: 1\r\n", True),
+        ("503 Service Unavailable", REJECTED + b"Server-Leaving: 1\r\n", True),
+        ("429 Too Many Requests", REJECTED + b"Server-Leaving: 1\r\n", True),
+        ("421 Misdirected Request", b"Server-Leaving: 1\r\n", True),
+        (
+            "503 Service Unavailable",
+            REJECTED + b"Server-Leaving: 1\r\nAt-Server: 10.0.0.2:80\r\n",
+            False,
+        ),
+    ],
+)
+async def test_leaving_is_read_from_every_kind_of_answer(
+    session: ClientSession, endpoint: StandinEndpoint, status: str, extra: bytes, leaving: bool
+) -> None:
+    """Guards against kinds of answer from which leaving is not learnt."""
+    endpoint.answers = [full_response(b"", status, extra)]
+    assert (await _open(session, endpoint)).notice.leaving is leaving
+
+
+async def test_leaving_is_read_before_the_first_event_of_a_stream(
+    session: ClientSession, endpoint: StandinEndpoint
+) -> None:
+    """Guards against learning it only when a stream of many seconds ends."""
+    head = b"X-Response-Stamp: s1\r\nServer-Leaving: 1\r\n"
+    answer = stream_response(b"id: 1\n\n").replace(b"X-Response-Stamp: s1\r\n", head)
+    endpoint.answers = [answer.partition(b"\r\n\r\n")[0] + b"\r\n\r\n|PAUSE|RESET"]
+    endpoint.pause = 1.0
+    async with asyncio.timeout(0.5):
+        assert (await _open(session, endpoint)).notice.leaving
+
+
+async def test_answer_to_another_request_says_nothing_of_the_endpoint(
+    session: ClientSession, endpoint: StandinEndpoint
+) -> None:
+    """Guards against excluding an endpoint because of an answer that belongs to nobody."""
+    answer = full_response(b"ok", extra=b"Server-Leaving: 1\r\n").replace(b"{id}", b"other")
+    endpoint.answers = [answer]
+    assert not (await _open(session, endpoint)).notice.leaving
