--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -211,6 +211,7 @@
 
     :param answers: one per request; ``{id}`` stands for the request's id. ``None`` closes the
         connection without a response; ``b"RESET"`` at the end resets it.
+    :param work: seconds before each response.
     :param pause: seconds after each part of a response.
     :param disconnects: number of responses during which the other side closed.
     """
@@ -218,6 +219,7 @@
     answers: list[bytes | None] = field(default_factory=list)
     received: list[Received] = field(default_factory=list)
     address: str = ""
+    work: float = 0.0
     pause: float = 0.0
     disconnects: int = 0
 
@@ -239,6 +241,7 @@
         self.received.append(received)
         if await self._maybe_crash(received, writer):
             return False
+        await asyncio.sleep(self.work)
         answer = self.next_answer()
         if answer is None:
             return False
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -77,7 +77,7 @@
             server = await asyncio.start_server(each.serve, LOOPBACK, 0)
             stack.callback(server.close)
             each.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
-            fields = {"service": "plain", "address": each.address, "zone": "z1", "slots": 40}
+            fields = {"service": "plain", "address": each.address, "zone": "z1", "slots": 4}
             store.put(f"servers/i-{number}", {**fields, "state": "ready", "sequence": 1})
         entries, _ = await start_entries(stack, store, client, tmp_path)
         yield Fleet(entries, endpoints, client, store)
