Send nothing to an endpoint for as long as it asked this node for rest

What callers saw: two engines turned away all that they got and asked for 3 s of rest; they got 9 to 12 requests from a node in that time, twice to four times what others got, and 67 callers in four seconds were refused with their 503 and sent back after 0.03 s, although six engines served. Cause: every 503 counted as a lack of slots for 0.12 s, whatever time it named. An endpoint that rejects all looks idle, so it got more requests than the others. Ruled out: second attempts (one in fifteen), forgetting (no pause at all). Change: RestLedger keeps the end of each incarnation's rest; placing, queued requests, second attempts, resumed streams and chains leave it out until then. A later, shorter rest doesn't end an earlier one; a restart ends it. It binds this node alone. Where all endpoints rest, a request waits only if the first rest ends in time for it, and is else refused at once; who is refused returns after that rest, spread over a time, the most urgent first. A caller whose own request was rejected by the only endpoint is told the same.

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -76,7 +76,7 @@
     RateLimit,
     allocate_rate,
     count_required_tokens,
-    decide_limited_dispatch,
+    decide_timed_dispatch,
     merge_limit,
     pick_grant_retry_delay,
     pick_limited_retry_after,
@@ -94,6 +94,7 @@
     compute_max_snapshot_age,
     rank_relays,
 )
+from wrenloft_policy._rests import pick_rest_retry_after
 from wrenloft_policy._retry import RetryBudget, pick_backoff
 from wrenloft_policy._runners import (
     RunnerCandidate,
@@ -212,7 +213,7 @@
     "count_unexplained_crashes",
     "count_unreachable",
     "decide_dispatch",
-    "decide_limited_dispatch",
+    "decide_timed_dispatch",
     "divide_limits",
     "estimate_elapsed",
     "estimate_load",
@@ -233,6 +234,7 @@
     "pick_limiter",
     "pick_neighbours",
     "pick_region_fetcher",
+    "pick_rest_retry_after",
     "pick_retry_after",
     "pick_swap_time",
     "predict_first_byte",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_rate_limits.py
@@ -222,7 +222,7 @@
     return max(MIN_RETRY_AFTER_SECONDS, min(turn, longest))
 
 
-def decide_limited_dispatch(
+def decide_timed_dispatch(
     wait: float,
     idle_seconds: float,
     queued_seconds: float,
@@ -230,9 +230,9 @@
     latency_objective: float,
     time_left: float,
 ) -> Verdict:
-    """Decide whether a request is queued for its turn at limited endpoints or refused.
+    """Decide whether a request is queued until it can be sent or refused.
 
-    :param wait: seconds until its turn.
+    :param wait: seconds until its turn at limited endpoints, or until an endpoint's rest ends.
     :param idle_seconds: seconds to the first byte at an idle endpoint.
     :param queued_seconds: seconds for which it has been queued here.
     :param elapsed_before: seconds from the caller's first attempt until the request arrived here.
--- a/packages/wrenloft-policy/tests/test_rate_limits.py
+++ b/packages/wrenloft-policy/tests/test_rate_limits.py
@@ -14,7 +14,7 @@
     RateLimit,
     Verdict,
     allocate_rate,
-    decide_limited_dispatch,
+    decide_timed_dispatch,
     merge_limit,
     pick_limited_retry_after,
     pick_limiter,
@@ -119,11 +119,11 @@
     def test_request_is_queued_if_its_turn_comes_soon_enough(
         self, wait: float, verdict: Verdict
     ) -> None:
-        assert decide_limited_dispatch(wait, 0.1, 0.0, 0.0, 0.5, 6.0) is verdict
+        assert decide_timed_dispatch(wait, 0.1, 0.0, 0.0, 0.5, 6.0) is verdict
 
     def test_queueing_is_bounded_if_the_turn_never_comes(self) -> None:
         """Guards against a request that is queued until no time is left to serve it."""
         queued = 0.0
-        while decide_limited_dispatch(0.1, 0.1, queued, 0.0, 0.5, 6.0 - queued) is Verdict.QUEUE:
+        while decide_timed_dispatch(0.1, 0.1, queued, 0.0, 0.5, 6.0 - queued) is Verdict.QUEUE:
             queued += 0.05
         assert queued <= 1.5
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endings.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endings.py
@@ -3,10 +3,10 @@
 from random import Random
 
 from wrenloft_core import NotRun, Outcome, Unknown
-from wrenloft_policy import pick_limited_retry_after, pick_retry_after
+from wrenloft_policy import pick_limited_retry_after, pick_rest_retry_after, pick_retry_after
 from wrenloft_routing._exchange import AnswerSink, Headers
 from wrenloft_routing._gate import Refused
-from wrenloft_routing._request_log import RATE_LIMITED
+from wrenloft_routing._request_log import RATE_LIMITED, RESTED
 from wrenloft_routing._request_progress import RequestProgress
 
 _CONNECT_RETRY_SECONDS = 0.03
@@ -19,6 +19,8 @@
         return Unknown(step, refused.reason, progress.peer)
     if refused.turn is not None:
         RATE_LIMITED.inc()
+    if refused.rest is not None:
+        RESTED.inc()
     retry_after = _pick_retry_after(progress, refused, random)
     return NotRun(step, refused.reason, progress.peer, retry_after=retry_after)
 
@@ -28,6 +30,8 @@
     turn = refused.turn
     if turn is not None:
         return pick_limited_retry_after(turn.wait, turn.rate, turn.waiting, left, random)
+    if refused.rest is not None:
+        return pick_rest_retry_after(refused.rest, progress.rank, random)
     if progress.attempts or progress.not_sent:
         return _CONNECT_RETRY_SECONDS
     return pick_retry_after(left, refused.candidates, random)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoint_snapshot.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoint_snapshot.py
@@ -36,6 +36,17 @@
         return self.least_urgent.state.denial.urgency
 
 
+@dataclass(frozen=True, slots=True)
+class RestEnd:
+    """When the first of several endpoints that all rest takes requests again.
+
+    :param untried: whether a request that has been rejected may still be sent to one of them.
+    """
+
+    at: float
+    untried: bool
+
+
 @dataclass(slots=True)
 class EndpointSnapshot:
     """Endpoints that are eligible for a service's requests, and their loads.
@@ -44,6 +55,7 @@
         which requests may begin.
     :param work: seconds of work on a request at a plain service.
     :param rate_limit_reset: set if all endpoints that could take a request have rate limits.
+    :param rest_end: set if all endpoints that could take a request rest.
     """
 
     taken_at: float
@@ -53,6 +65,7 @@
     engine: EngineProfile | None
     work: float
     rate_limit_reset: RateLimitReset | None = None
+    rest_end: RestEnd | None = None
     _index: dict[str, int] = field(default_factory=dict)
     _best: list[int] = field(default_factory=list)
     _spare_slots: dict[float, int] = field(default_factory=dict)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -30,6 +30,7 @@
 from wrenloft_routing._departures import Departure, DepartureLedger, DepartureSource
 from wrenloft_routing._limit_ledger import LimitLedger
 from wrenloft_routing._loads import NO_LOAD, InProgress, PeerLoads
+from wrenloft_routing._rests import RestLedger
 
 _LOG = logging.getLogger(__name__)
 
@@ -55,9 +56,6 @@
     "wrenloft_endpoint_notices", "Answers by what they say of their endpoint", ["notice"]
 )
 
-MAX_REST_SECONDS = 86400.0
-"""Longest rest that is kept to. An endpoint that asks for years by mistake is asked again daily."""
-
 MAX_LOGGED_TEXT = 40
 """Characters of an unreadable header that are logged."""
 
@@ -180,6 +178,10 @@
         """Whether it is leaving, and takes no new requests."""
         return self.departure is not None
 
+    def is_open(self, now: float) -> bool:
+        """Return whether it takes new requests of this node, if it has slots."""
+        return not self.leaving and self.rest_until <= now
+
     def push_idle_connection(self, now: float) -> None:
         """Record that a connection to it was left open and idle."""
         self.idle_since.append(now)
@@ -248,6 +250,7 @@
         self._region = region
         self._states: dict[AgentId, EndpointState] = {}
         self.departures = DepartureLedger()
+        self.rests = RestLedger()
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._by_address: dict[str, list[EndpointState]] = {}
         self.peer_loads = PeerLoads()
@@ -295,7 +298,8 @@
             state = None
         if state is None:
             departure = self.departures.find(agent_id, endpoint.born)
-            state = EndpointState(endpoint, departure=departure)
+            rest_until = self.rests.find_end(endpoint.incarnation)
+            state = EndpointState(endpoint, departure=departure, rest_until=rest_until)
             self._states[agent_id] = state
             _export_rate_limit(agent_id, self.find_rate_limit(state))
             note(
@@ -380,32 +384,24 @@
 
     def record_notice(self, state: EndpointState, notice: EndpointNotice, now: float) -> None:
         """Record what an answer says of its endpoint."""
+        endpoint = state.endpoint
         if notice.leaving:
             NOTICES.labels("leaving").inc()
-            endpoint = state.endpoint
             self.record_departure(endpoint.agent_id, endpoint.born, DepartureSource.ANSWER)
         if notice.rest:
             NOTICES.labels("rest").inc()
-            self._record_rest(state, notice.rest, now)
+            state.rest_until = self.rests.extend(endpoint.incarnation, notice.rest, now)
+            self.mark_changed()
         if notice.unreadable:
             NOTICES.labels("unreadable").inc()
             text = notice.unreadable[:MAX_LOGGED_TEXT]
-            note(_LOG, "cannot parse rest", endpoint=state.endpoint.agent_id, text=text)
+            note(_LOG, "cannot parse rest", endpoint=endpoint.agent_id, text=text)
 
-    def _record_rest(self, state: EndpointState, seconds: float, now: float) -> None:
-        """Record a rest. A shorter one doesn't end an earlier one, which was also asked for."""
-        until = now + min(seconds, MAX_REST_SECONDS)
-        if until <= state.rest_until:
-            return
-        note(
-            _LOG,
-            "endpoint rest extended" if state.rest_until > now else "endpoint rest begun",
-            endpoint=state.endpoint.agent_id,
-            born=state.endpoint.born,
-            seconds=seconds,
-            left_before_ms=round(max(0.0, state.rest_until - now) * 1000),
-        )
-        state.rest_until = until
+    def end_rests(self, now: float) -> None:
+        """End the rests whose time is up, and wake the requests that wait for it."""
+        if self.rests.drop_ended(now):
+            self.mark_changed()
+            self.wake_waiting()
 
     def find_rate_limit(self, state: EndpointState) -> float | None:
         """Return the requests per second that an endpoint takes, ``None`` if it has no limit."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -234,7 +234,7 @@
                 return placed
             if not await self._request_grants(placed.states, placement.urgency):
                 placement.denials += 1
-            elif not any(each.leaving for each in placed.states):
+            elif all(each.is_open(read_clock()) for each in placed.states):
                 return placed
 
     async def _attempt(
@@ -397,7 +397,8 @@
         allowed = progress.attempts < progress.rule.max_attempts and not progress.is_probe
         if allowed and self._budget.withdraw(progress.service.name, now):
             return None
-        return give_up(progress, "endpoint", Refused(result.reason, 1), self._random)
+        rest = self._gate.measure_rest(progress.service)
+        return give_up(progress, "endpoint", Refused(result.reason, 1, rest=rest), self._random)
 
     def _after_lost(self, progress: RequestProgress, step: str, reason: str) -> Outcome | None:
         progress.may_have_run = True
--- a/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_gate.py
@@ -23,13 +23,13 @@
     compute_send_probability,
     count_unreachable,
     decide_dispatch,
-    decide_limited_dispatch,
+    decide_timed_dispatch,
     estimate_unreported,
     is_version_required,
     predict_first_byte,
 )
 from wrenloft_routing._chains import ChainStage, Eligible, list_eligible
-from wrenloft_routing._endpoint_snapshot import EndpointSnapshot, RateLimitReset
+from wrenloft_routing._endpoint_snapshot import EndpointSnapshot, RateLimitReset, RestEnd
 from wrenloft_routing._endpoints import Endpoints, EndpointState
 from wrenloft_routing._loads import QueueLength
 from wrenloft_routing._table import BackendService
@@ -142,11 +142,13 @@
     """No endpoint can answer in time.
 
     :param turn: set if only rate limits prevent it.
+    :param rest: seconds until the first endpoint takes requests again, if all of them rest.
     """
 
     reason: str
     candidates: int
     turn: LimitedTurn | None = None
+    rest: float | None = None
 
 
 class Gate:
@@ -258,6 +260,8 @@
         turn = self._find_turn(request, snapshot, now)
         if turn is not None:
             return self._decide_turn(request, turn, snapshot.work, now)
+        if snapshot.rest_end is not None:
+            return self._decide_rest(request, snapshot.rest_end, snapshot.work, now)
         if verdict is Verdict.REFUSE:
             known = len(self._endpoints.of_service(request.service.name))
             if choice is None:
@@ -301,7 +305,7 @@
     ) -> Refused | None:
         idle_seconds = self._measure_idle_latency(request, work)
         waited, left = now - request.since, request.deadline - now
-        verdict = decide_limited_dispatch(
+        verdict = decide_timed_dispatch(
             turn.wait, idle_seconds, waited, request.elapsed, request.latency_objective, left
         )
         if request.is_overdue and self._has_refused_fresh(request.service.name, now):
@@ -313,6 +317,22 @@
             self._fresh_refused_at[request.service.name] = now
         return Refused(f"rate limits leave room in {turn.wait:.2f} s", 0, turn)
 
+    def _decide_rest(
+        self, request: PlacementRequest, rest_end: RestEnd, work: float, now: float
+    ) -> Refused | None:
+        wait = rest_end.at - now
+        verdict = decide_timed_dispatch(
+            wait,
+            self._measure_idle_latency(request, work),
+            now - request.since,
+            request.elapsed,
+            request.latency_objective,
+            request.deadline - now,
+        )
+        if rest_end.untried and verdict is Verdict.QUEUE:
+            return None
+        return Refused(f"endpoints rest for {wait:.2f} s", 0, rest=wait)
+
     def _has_refused_fresh(self, service: ServiceName, now: float) -> bool:
         at = self._fresh_refused_at.get(service, -inf)
         return now - at < FRESH_REFUSED_SECONDS
@@ -335,7 +355,10 @@
         reset = None
         if all(each.limited for each in loads):
             reset = self._find_rate_limit_reset(service, tried, now, limited=limited)
-        snapshot = EndpointSnapshot(now, revision, eligible, loads, service.engine, work, reset)
+        rest_end = None if eligible else self._find_rest_end(service, tried, now)
+        snapshot = EndpointSnapshot(
+            now, revision, eligible, loads, service.engine, work, reset, rest_end
+        )
         if not tried:
             self._snapshots[key] = snapshot
         return snapshot
@@ -497,9 +520,30 @@
         return [
             each
             for each in self._endpoints.of_service(service.name)
-            if not each.leaving and each.endpoint.agent_id not in tried and each.full_until <= now
+            if each.is_open(now) and each.endpoint.agent_id not in tried and each.full_until <= now
         ]
 
+    def measure_rest(self, service: BackendService) -> float | None:
+        """Return the seconds until an endpoint takes requests again, ``None`` if one does now."""
+        now = read_clock()
+        rest_end = self._find_rest_end(service, (), now)
+        return None if rest_end is None else rest_end.at - now
+
+    def _find_rest_end(
+        self, service: BackendService, tried: Collection[AgentId], now: float
+    ) -> RestEnd | None:
+        if not len(self._endpoints.rests):
+            return None
+        states = [each for each in self._endpoints.of_service(service.name) if not each.leaving]
+        required = self.find_required_version(service, now)
+        ends: dict[bool, list[float]] = {True: [], False: []}
+        for each in list_eligible(service, states, required, now, self._random):
+            stages = [each.state, *(stage.state for stage in each.chain)]
+            untried = not any(stage.endpoint.agent_id in tried for stage in stages)
+            ends[untried].append(max(stage.rest_until for stage in stages))
+        first = min(ends[True] or ends[False], default=now)
+        return RestEnd(first, untried=bool(ends[True])) if first > now else None
+
 
 async def _wait(changed: asyncio.Event, request: PlacementRequest) -> None:
     """Wait for a change, or until a full endpoint may be used again.
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -31,6 +31,8 @@
     "wrenloft_rate_limited_requests", "Requests refused because of endpoints' rate limits"
 )
 
+RESTED = Counter("wrenloft_rest_refused_requests", "Requests refused because all endpoints rest")
+
 
 def log_attempt(
     progress: RequestProgress,
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -444,6 +444,133 @@
         assert not harness.attempts
 
 
+class TestRests:
+    """Tests of endpoints that reject requests and ask this node for rest."""
+
+    @staticmethod
+    def _rejected(rest: float) -> Rejected:
+        return Rejected("status 503", misdirected=False, notice=EndpointNotice(rest=rest))
+
+    @staticmethod
+    def _rest(harness: Harness, *numbers: int, seconds: float = 3.0) -> list[EndpointState]:
+        """Let plain endpoints ask for rest."""
+        states = harness.endpoints.of_service(PLAIN)
+        for number in numbers:
+            notice = EndpointNotice(rest=seconds)
+            harness.endpoints.record_notice(states[number], notice, read_clock())
+        return states
+
+    async def test_request_moves_to_an_endpoint_that_does_not_rest(self, waits: list[str]) -> None:
+        """Guards against callers that wait for a resting endpoint while others are idle."""
+        harness = Harness(self._rejected(3.0), *(FakeReply([b"ok"]) for _ in range(10)))
+        for _ in range(10):
+            harness.sink = FakeSink()
+            await harness.send("safe")
+            assert harness.sink.status == 200
+        resting = harness.attempts[0].endpoint.agent_id
+        assert resting not in [each.endpoint.agent_id for each in harness.attempts[1:]]
+        assert not waits
+
+    @pytest.mark.parametrize("seconds", [1.0, 3.0, 30.0, 600.0])
+    async def test_request_is_refused_at_once_when_all_endpoints_rest(
+        self, waits: list[str], seconds: float
+    ) -> None:
+        """Guards against callers that wait out their time, or return while all still rest."""
+        harness = Harness()
+        self._rest(harness, 0, 1, 2, seconds=seconds)
+        delays = set()
+        for rule in ("safe", "alarm", "once", "safe"):
+            harness.sink = FakeSink()
+            outcome = await harness.send(rule)
+            assert isinstance(outcome, NotRun)
+            assert outcome.reason.startswith("endpoints rest for")
+            delays.add(float(harness.sink.headers["Retry-After"]))
+        assert min(delays) >= seconds - 0.1
+        assert len(delays) == 4
+        assert not waits
+        assert not harness.attempts
+
+    async def test_first_rest_to_end_decides_when_callers_return(self) -> None:
+        """Guards against sending callers away for the longest of several rests."""
+        harness = Harness()
+        self._rest(harness, 0, 1, seconds=600.0)
+        self._rest(harness, 2, seconds=2.0)
+        await harness.send("safe")
+        assert 1.9 < float(harness.sink.headers["Retry-After"]) < 4.0
+
+    async def test_request_waits_for_a_rest_that_ends_in_time(self) -> None:
+        """Guards against refusing what can be answered in time a moment later."""
+        harness = Harness(FakeReply([b"ok"]))
+        self._rest(harness, 0, 1, 2, seconds=0.08)
+        await harness.send("safe")
+        assert harness.sink.status == 200
+
+    async def test_rejected_caller_learns_how_long_the_only_endpoint_rests(self) -> None:
+        """Guards against sending a caller back into the rest that its own request was told of."""
+        harness = Harness(self._rejected(3.0))
+        first, *_ = harness.endpoints.of_service(PLAIN)
+        harness.endpoints.update([first.endpoint], trusted=True)
+        for rule in ("once", "safe"):
+            harness.sink = FakeSink()
+            await harness.send(rule)
+            assert harness.sink.status == 503
+            assert float(harness.sink.headers["Retry-After"]) >= 2.9
+        assert len(harness.attempts) == 1
+
+    async def test_rejected_caller_returns_soon_if_others_do_not_rest(self) -> None:
+        """Guards against sending callers away for seconds whom another endpoint could serve."""
+        harness = Harness(self._rejected(3.0))
+        await harness.send("once")
+        assert float(harness.sink.headers["Retry-After"]) < 0.5
+
+    async def test_full_endpoint_is_sooner_than_a_resting_one(self) -> None:
+        """Guards against taking a moment without slots for the rest of another endpoint."""
+        harness = Harness(FakeReply([b"ok"]))
+        harness.forwarder.table = replace(
+            TABLE, rules=(_rule("safe", RuleKind.SAFE, PLAIN, latency_objective=4.0, timeout=4.0),)
+        )
+        states = self._rest(harness, 1, 2, seconds=600.0)
+        harness.endpoints.record_full(states[0], read_clock())
+        await harness.send("safe", caller_timeout=4.0)
+        assert harness.sink.status == 200
+
+    async def test_resting_and_limited_endpoint_is_left_alone(self) -> None:
+        """Guards against a grant that is taken for leave to disturb a resting endpoint."""
+        harness = Harness()
+        for state in self._rest(harness, 0, 1, 2):
+            harness.endpoints.record_limit(state, AdvertisedLimit(2.0, "2"), limit_known=False)
+        outcome = await harness.send("alarm")
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason.startswith("endpoints rest for")
+        assert not harness.grant_requests
+
+    async def test_chain_avoids_a_resting_engine(self) -> None:
+        """Guards against disturbing a resting engine through another one."""
+        harness = Harness()
+        harness.set_spans({0: LayerSpan(0, 8), 1: LayerSpan(8, 16), 2: LayerSpan(8, 8)})
+        resting = harness.endpoints.get(AgentId(f"{ENGINES}-1"))
+        assert resting is not None
+        harness.endpoints.record_notice(resting, EndpointNotice(rest=3.0), read_clock())
+        outcome = await harness.send("stream")
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason.startswith("endpoints rest for")
+
+    async def test_stream_is_not_resumed_at_a_resting_engine(self) -> None:
+        """Guards against resumed streams that bypass a rest."""
+        harness = Harness(
+            FakeReply([_events(0), 0.05, ReplyBrokenError("cut")], is_stream=True),
+            FakeReply([_events(1)], is_stream=True),
+        )
+        sending = asyncio.create_task(harness.send("stream"))
+        await asyncio.sleep(0.02)
+        first = harness.attempts[0].endpoint.agent_id
+        engines = harness.endpoints.of_service(ENGINES)
+        resting = next(each for each in engines if each.endpoint.agent_id != first)
+        harness.endpoints.record_notice(resting, EndpointNotice(rest=3.0), read_clock())
+        await sending
+        assert harness.attempts[1].endpoint.agent_id not in (first, resting.endpoint.agent_id)
+
+
 class TestRateLimits:
     """Tests of requests to endpoints that name a rate limit."""
 
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -7,9 +7,11 @@
 
 import pytest
 from aiohttp import ClientSession
+from hypothesis import given
+from hypothesis import strategies as st
 
 from wrenloft_core import AgentId, OrganisationName, PlaceName, RegionName, RequestId, ServiceName
-from wrenloft_platform._runner import RunnerReply, RunnerTransport, parse_named_limit
+from wrenloft_platform._runner import RunnerReply, RunnerTransport, parse_named_limit, parse_rest
 from wrenloft_policy import LayerSpan
 from wrenloft_routing import (
     Attempt,
@@ -323,3 +325,72 @@
     answer = full_response(b"ok", extra=b"Server-Leaving: 1\r\n").replace(b"{id}", b"other")
     endpoint.answers = [answer]
     assert not (await _open(session, endpoint)).notice.leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("0.2", 0.2),
+        ("1", 1.0),
+        (" 3 ", 3.0),
+        ("30", 30.0),
+        ("600", 600.0),
+        ("1e300", 1e300),
+        ("0", 0.0),
+        ("3, 5", 5.0),
+        ("3, soon", 3.0),
+        ("Wed, 21 Oct 2026 07:28:07 GMT", 7.0),
+        ("Wed, 21 Oct 2026 07:27:50 GMT", 0.0),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("", None),
+        ("soon", None),
+    ],
+)
+def test_parses_rests(text: str, seconds: float | None) -> None:
+    assert parse_rest(text, "Wed, 21 Oct 2026 07:28:00 GMT") == seconds
+
+
+@given(st.text(max_size=40))
+def test_any_text_is_a_rest_or_unreadable(text: str) -> None:
+    """Guards against answers that are lost because a header can't be parsed."""
+    seconds = parse_rest(text, "")
+    assert seconds is None or seconds >= 0.0
+
+
+@pytest.mark.parametrize(
+    ("status", "extra", "rest", "unreadable"),
+    [
+        ("503 Service Unavailable", REJECTED + b"Retry-After: 3\r\n", 3.0, ""),
+        ("503 Service Unavailable", b"Retry-After: 0.2\r\n", 0.2, ""),
+        (
+            "503 Service Unavailable",
+            REJECTED + b"Retry-After: 1\r\nRetry-After: 4\r\n",
+            4.0,
+            "",
+        ),
+        ("503 Service Unavailable", REJECTED + b"Retry-After: soon\r\n", 0.0, "soon"),
+        (
+            "503 Service Unavailable",
+            REJECTED + b"Retry-After: 3\r\nAt-Server: 10.0.0.2:80\r\n",
+            3.0,
+            "",
+        ),
+        ("503 Service Unavailable", REJECTED, 0.0, ""),
+        ("429 Too Many Requests", REJECTED + b"Retry-After: 3\r\n", 0.0, ""),
+        ("200 OK", b"Retry-After: 3\r\n", 0.0, ""),
+    ],
+)
+async def test_rest_is_read_from_rejections(
+    session: ClientSession,
+    endpoint: StandinEndpoint,
+    status: str,
+    extra: bytes,
+    rest: float,
+    unreadable: str,
+) -> None:
+    """Guards against rests that are missed, and against rests that nobody asked for."""
+    endpoint.answers = [full_response(b"", status, extra)]
+    notice = (await _open(session, endpoint)).notice
+    assert (notice.rest, notice.unreadable) == (rest, unreadable)
