Tell other nodes of endpoints that say that they leave

What callers saw: with the store down, each node sent at least one request to a leaving endpoint to find out, and callers of 98 nodes would each lose what the endpoint no longer finishes. Change: departures of listed endpoints go with the load updates and frames, as rate limits do; a new subscriber gets those of the endpoints that are listed. 30 bytes for each, once for each subscriber; nothing where none leaves. Nodes of the former version ignore the additional field, and send nothing with it. After: they don't, one second after the first was told.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_departures.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_departures.py
@@ -18,6 +18,7 @@
 
     LIST = "list"
     ANSWER = "answer"
+    PEER = "peer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +27,17 @@
 
     :param born: start time of that incarnation; earlier ones are gone.
     :param at: when this node learned of it.
+    :param revision: of the ledger that recorded it.
     """
 
     born: int
     source: DepartureSource
     at: float
+    revision: int
+
+
+DepartureUpdates = dict[AgentId, int]
+"""Start times of leaving incarnations, by endpoint."""
 
 
 class DepartureLedger:
@@ -41,13 +48,15 @@
     """
 
     def __init__(self) -> None:
+        self.revision = 0
         self._departures: OrderedDict[AgentId, Departure] = OrderedDict()
 
     def record(self, agent_id: AgentId, born: int, source: DepartureSource) -> Departure | None:
         """Record that an incarnation is leaving; return the departure unless it was known."""
         if self.find(agent_id, born) is not None:
             return None
-        departure = Departure(born, source, read_clock())
+        self.revision += 1
+        departure = Departure(born, source, read_clock(), self.revision)
         self._departures[agent_id] = departure
         self._departures.move_to_end(agent_id)
         if len(self._departures) > MAX_DEPARTURES:
@@ -59,3 +68,13 @@
         """Return the departure of an incarnation, ``None`` if it isn't known to be leaving."""
         known = self._departures.get(agent_id)
         return known if known is not None and known.born >= born else None
+
+    def list_changes(self, since: int) -> DepartureUpdates:
+        """Return the departures recorded after a revision of this ledger, for publication."""
+        if since == self.revision:
+            return {}
+        return {
+            agent_id: each.born
+            for agent_id, each in self._departures.items()
+            if each.revision > since
+        }
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -27,7 +27,12 @@
     EndpointNotice,
     LayerSpan,
 )
-from wrenloft_routing._departures import Departure, DepartureLedger, DepartureSource
+from wrenloft_routing._departures import (
+    Departure,
+    DepartureLedger,
+    DepartureSource,
+    DepartureUpdates,
+)
 from wrenloft_routing._limit_ledger import LimitLedger
 from wrenloft_routing._loads import NO_LOAD, InProgress, PeerLoads
 from wrenloft_routing._rests import RestLedger
@@ -313,6 +318,16 @@
         if endpoint.leaving:
             self.record_departure(agent_id, endpoint.born, DepartureSource.LIST)
 
+    def list_departures(self, since: int) -> DepartureUpdates:
+        """Return the listed endpoints recorded as leaving after a revision of ``departures``."""
+        changes = self.departures.list_changes(since)
+        return {agent_id: born for agent_id, born in changes.items() if agent_id in self._states}
+
+    def merge_departures(self, updates: DepartureUpdates) -> None:
+        """Record the departures that another node knows of."""
+        for agent_id, born in updates.items():
+            self.record_departure(agent_id, born, DepartureSource.PEER)
+
     def record_departure(self, agent_id: AgentId, born: int, source: DepartureSource) -> None:
         """Exclude an incarnation from new requests, whatever the list says later."""
         departure = self.departures.record(agent_id, born, source)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -12,6 +12,7 @@
 from wrenloft_core import AgentId, ContentId, IncarnationId, NodeId, ServiceName
 from wrenloft_policy import CrashStatus, LayerSpan, RateLimit
 from wrenloft_routing._crash_ledger import CrashUpdates, ReportedCrash
+from wrenloft_routing._departures import DepartureUpdates
 from wrenloft_routing._endpoints import EngineReport
 from wrenloft_routing._limit_ledger import LimitUpdates
 from wrenloft_routing._loads import InProgress, QueueLength
@@ -61,6 +62,7 @@
     :param store_deltas: changes of store snapshots.
     :param crashes: new crash records by content.
     :param limits: rate limits of endpoints, where they have changed.
+    :param departures: endpoints that are newly known to be leaving.
     """
 
     sent_at: float
@@ -73,6 +75,7 @@
     store_deltas: tuple[StoreDelta, ...] = ()
     crashes: CrashUpdates | None = None
     limits: LimitUpdates | None = None
+    departures: DepartureUpdates | None = None
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -96,6 +99,8 @@
         fields["crashes"] = encode_crashes(frame.crashes)
     if frame.limits:
         fields["limits"] = encode_limits(frame.limits)
+    if frame.departures:
+        fields["leaving"] = frame.departures
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
@@ -124,9 +129,15 @@
         store_deltas=tuple(_decode_delta(each) for each in fields.get("readings", [])),
         crashes=decode_crashes(fields.get("crashes", {})),
         limits=decode_limits(fields.get("limits", [])),
+        departures=decode_departures(fields.get("leaving", {})),
     )
 
 
+def decode_departures(fields: dict[str, Any]) -> DepartureUpdates:
+    """Decode the start times of leaving endpoints."""
+    return {AgentId(str(agent_id)): int(born) for agent_id, born in fields.items()}
+
+
 def encode_crashes(updates: CrashUpdates) -> dict[str, list[list[Any]]]:
     """Encode crash records as rows for each content."""
     return {
--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -12,9 +12,11 @@
 from wrenloft_core import AgentId, ServiceName, note, read_clock
 from wrenloft_policy import compute_frame_interval
 from wrenloft_routing._crash_ledger import CrashLedger, CrashSource, CrashUpdates
+from wrenloft_routing._departures import DepartureUpdates
 from wrenloft_routing._endpoints import Endpoints
 from wrenloft_routing._frames import (
     decode_crashes,
+    decode_departures,
     decode_limits,
     decode_loads,
     decode_queues,
@@ -54,12 +56,14 @@
     :param ready: whether callers may be sent to the node.
     :param crashes: crash records by content that are new since the last update.
     :param limits: rate limits of endpoints that have changed since the last update.
+    :param departures: endpoints newly known to be leaving since the last update.
     """
 
     ready: bool
     load: LoadUpdate
     crashes: CrashUpdates = field(default_factory=dict)
     limits: LimitUpdates = field(default_factory=dict)
+    departures: DepartureUpdates = field(default_factory=dict)
 
 
 class LoadRoutes:
@@ -112,12 +116,14 @@
         sent: dict[AgentId, InProgress] = {}
         sent_rest: tuple[bool, dict[ServiceName, QueueLength]] | None = None
         sent_at = float("-inf")
-        sent_crash_revision = sent_limit_revision = 0
+        sent_crash_revision = sent_limit_revision = sent_departure_revision = 0
         while True:
             crashes = self._crashes.list_changes(sent_crash_revision)
             sent_crash_revision = self._crashes.revision
             limits = self._endpoints.limits.list_changes(sent_limit_revision)
             sent_limit_revision = self._endpoints.limits.revision
+            departures = self._endpoints.list_departures(sent_departure_revision)
+            sent_departure_revision = self._endpoints.departures.revision
             current = self._endpoints.list_in_progress()
             changed = {
                 agent_id: current.get(agent_id, NO_LOAD)
@@ -126,10 +132,12 @@
             }
             rest = (self._is_ready(), self._list_queues())
             now = read_clock()
-            has_changes = bool(changed or crashes or limits or rest != sent_rest)
+            has_changes = bool(changed or crashes or limits or departures)
+            has_changes = has_changes or rest != sent_rest
             if has_changes or now - sent_at >= LOAD_HEARTBEAT_SECONDS:
                 sent, sent_rest, sent_at = current, rest, now
-                update = NodeUpdate(rest[0], LoadUpdate(changed, rest[1]), crashes, limits)
+                load = LoadUpdate(changed, rest[1])
+                update = NodeUpdate(rest[0], load, crashes, limits, departures)
                 await response.write(encode_update(update))
                 MESSAGES.labels("load", "sent").inc()
             await asyncio.sleep(compute_frame_interval(self._members.count_near()))
@@ -143,10 +151,12 @@
         encode_loads(load.in_progress),
         encode_queues(load.queues),
     ]
-    if update.crashes or update.limits:
+    if update.crashes or update.limits or update.departures:
         fields.append(encode_crashes(update.crashes))
-    if update.limits:
+    if update.limits or update.departures:
         fields.append(encode_limits(update.limits))
+    if update.departures:
+        fields.append(update.departures)
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
@@ -160,7 +170,8 @@
         load = LoadUpdate(decode_loads(rows), decode_queues(queues))
         crashes = decode_crashes(rest[0] if rest else {})
         limits = decode_limits(rest[1] if len(rest) > 1 else [])
-        return NodeUpdate(bool(ready), load, crashes, limits)
+        departures = decode_departures(rest[2] if len(rest) > 2 else {})
+        return NodeUpdate(bool(ready), load, crashes, limits, departures)
     except (TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"line is not a load update: {error!r}") from error
 
@@ -220,5 +231,6 @@
         self._view.record_node(node.node_id, update.load)
         self._view.crashes.merge(update.crashes, CrashSource.PEER)
         self._view.limits.merge(update.limits)
+        self._view.endpoints.merge_departures(update.departures)
         state = NodeState.READY if update.ready else NodeState.UNREADY
         self._members.update_states({node.node_id: state})
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
@@ -191,6 +191,7 @@
         self._members.update_states(states)
         self._view.crashes.merge(frame.crashes or {}, CrashSource.PEER)
         self._view.limits.merge(frame.limits or {})
+        self._endpoints.merge_departures(frame.departures or {})
         self._apply_deltas(frame, mirror)
 
     def _apply_reports(self, frame: Frame, reachable: Iterable[str], now: float) -> None:
@@ -286,4 +287,5 @@
         self._members.update_states(frame.states or {})
         self._view.crashes.merge(frame.crashes or {}, CrashSource.PEER)
         self._view.limits.merge(frame.limits or {})
+        self._endpoints.merge_departures(frame.departures or {})
         self._apply_deltas(frame, mirror)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
@@ -47,7 +47,7 @@
     ) -> None:
         self.crashes = crashes
         self.limits = endpoints.limits
-        self._endpoints = endpoints
+        self.endpoints = endpoints
         self._members = members
         self._list_queues = list_queues
         self._zone_loads = PeerLoads()
@@ -114,7 +114,7 @@
         if now - self._summed_at < SUM_CACHE_SECONDS:
             return
         self._summed_at = now
-        own = self._endpoints.list_in_progress()
+        own = self.endpoints.list_in_progress()
         self._sums[FrameScope.ZONE] = _add_loads(own, self._zone_loads.get_sums())
         self._sums[FrameScope.FLEET] = _add_loads(own, self.fleet_loads.get_sums())
 
@@ -183,6 +183,7 @@
         self._states: dict[NodeId, NodeState] = {}
         self._crash_revision = 0
         self._limit_revision = 0
+        self._departure_revision = 0
         self._revisions: dict[str, dict[str, int]] = {}
         self._begun_at: dict[str, float] = {}
 
@@ -199,11 +200,16 @@
         self._crash_revision = self._view.crashes.revision
         limits = self._view.limits.list_changes(self._limit_revision)
         self._limit_revision = self._view.limits.revision
+        departures = self._view.endpoints.list_departures(self._departure_revision)
+        self._departure_revision = self._view.endpoints.departures.revision
         changed = bool(loads or reports or lost or states or deltas or crashes or limits)
+        changed = changed or bool(departures)
         changed = changed or queues != self._queues
         self._queues = queues
         nodes = self._view.count_reachable(self._scope, self._subscriber)
-        frame = Frame(now, nodes, loads, queues, reports, lost, states, deltas, crashes, limits)
+        frame = Frame(
+            now, nodes, loads, queues, reports, lost, states, deltas, crashes, limits, departures
+        )
         return frame, changed
 
     def _diff_loads(self) -> dict[AgentId, InProgress]:
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -108,6 +108,7 @@
         node=st.sampled_from(["n1", "n2"]),
     ),
 )
+departure_updates = st.dictionaries(agents, st.integers(0, 9))
 frames = st.builds(
     Frame,
     sent_at=st.floats(0, 1e6),
@@ -131,6 +132,7 @@
     ).map(tuple),
     crashes=crash_updates,
     limits=limit_updates,
+    departures=departure_updates,
 )
 
 
@@ -143,11 +145,16 @@
         assert decode_frame(encode_frame(frame)) == frame
 
     @given(
-        st.booleans(), st.dictionaries(agents, in_progress), queues, crash_updates, limit_updates
+        st.booleans(),
+        st.dictionaries(agents, in_progress),
+        queues,
+        crash_updates,
+        limit_updates,
+        departure_updates,
     )
-    def test_update_round_trips(self, ready, loads, waiting, crashes, limits) -> None:
+    def test_update_round_trips(self, ready, loads, waiting, crashes, limits, departures) -> None:
         """Nothing of an update is lost or changed by encoding."""
-        update = NodeUpdate(ready, LoadUpdate(loads, waiting), crashes, limits)
+        update = NodeUpdate(ready, LoadUpdate(loads, waiting), crashes, limits, departures)
         assert decode_update(encode_update(update)) == update
 
     @given(st.one_of(st.binary(max_size=40), st.text(max_size=40).map(str.encode)))
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -20,6 +20,9 @@
 DRAIN_SECONDS = 2.0
 """Time after an answer that states it until no request of that node may reach the endpoint."""
 
+PROPAGATION_SECONDS = 1.0
+"""Time after which other nodes know of an endpoint that told one of them."""
+
 
 @dataclass
 class Fleet:
@@ -98,3 +101,19 @@
         told_at = leaving.find_noticed_at(node)
         assert leaving.count_arrivals(node, told_at + DRAIN_SECONDS) == 0
     assert {status for status, _ in answers} == {200}
+
+
+async def test_nodes_tell_each_other_of_leaving_endpoints(fleet: Fleet) -> None:
+    """Guards against endpoints that each node of a fleet has to find out about by a request."""
+    await fleet.load(20.0, 1.0)
+    fleet.store.refuse = True
+    leaving = max(fleet.endpoints, key=lambda each: len(each.arrivals))
+    leaving.leaving = "1"
+    first, *others = fleet.entries
+    while not leaving.noticed:
+        await fleet.send(first)
+    await asyncio.sleep(PROPAGATION_SECONDS)
+    for _ in range(20):
+        for each in others:
+            await fleet.send(each)
+    assert {node for node, _ in leaving.noticed} == {first.settings["name"]}
