Tell entry nodes of an engine that says to its agent that it leaves

While the store is down an engine without traffic was learnt to leave only by a request sent to it. Change: the agent reads the header of the engine's report and passes it on as a field of its own, at once, as a change of the weights in service; the relay records it for that incarnation and tells the others. Relays of the former version ignore the field, agents of the former version send none. Tests fail before (no such field in a report) and pass after.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_departures.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_departures.py
@@ -18,6 +18,7 @@
 
     LIST = "list"
     ANSWER = "answer"
+    REPORT = "report"
     PEER = "peer"
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -318,6 +318,16 @@
         if endpoint.leaving:
             self.record_departure(agent_id, endpoint.born, DepartureSource.LIST)
 
+    def record_reported_departure(self, address: str, born: int) -> None:
+        """Record that the engine at an address says to its agent that it leaves.
+
+        :param born: start time of that engine, 0 if unknown.
+        """
+        for state in self.find_by_address(address):
+            endpoint = state.endpoint
+            if born in (0, endpoint.born):
+                self.record_departure(endpoint.agent_id, endpoint.born, DepartureSource.REPORT)
+
     def list_departures(self, since: int) -> DepartureUpdates:
         """Return the listed endpoints recorded as leaving after a revision of ``departures``."""
         changes = self.departures.list_changes(since)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
@@ -65,7 +65,8 @@
             async with self._session.get(url, params=query, timeout=timeout) as response:
                 response.raise_for_status()
                 async for line in response.content:
-                    self._record(agent, decode_report(json.loads(line)))
+                    fields = json.loads(line)
+                    self._record(agent, decode_report(fields), leaving=bool(fields.get("leaving")))
                     if not received and not known:
                         note(_LOG, "agent connected", agent=agent.address)
                     received = True
@@ -73,10 +74,12 @@
             return received, repr(error)
         return received, "ended"
 
-    def _record(self, agent: AgentPeer, report: EngineReport) -> None:
+    def _record(self, agent: AgentPeer, report: EngineReport, *, leaving: bool) -> None:
         MESSAGES.labels("report", "received").inc()
         self._view.record_report(agent.engine, report, agent.place)
         self._endpoints.record_report(agent.engine, report, read_clock())
+        if leaving:
+            self._endpoints.record_reported_departure(agent.engine, report.born)
 
 
 def decode_report(fields: dict[str, Any]) -> EngineReport:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -17,6 +17,7 @@
     :param span: the layers of that version in service, ``None`` if there are none.
     :param sequence: number of orders accepted since its start.
     :param born: start time in milliseconds, which distinguishes incarnations of one id.
+    :param leaving: whether it says that it leaves.
     """
 
     running: int
@@ -27,6 +28,7 @@
     sequence: int
     span: LayerSpan | None = ALL_LAYERS
     born: int = 0
+    leaving: bool = False
 
     def serves(self, number: int, span: LayerSpan) -> bool:
         """Return whether layers of a version, or any newer version, are in service."""
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -98,8 +98,8 @@
         self.service_changed = asyncio.Event()
 
 
-def _describe_service(state: EngineState | None) -> tuple[int, LayerSpan | None] | None:
-    return None if state is None else (state.version, state.span)
+def _describe_service(state: EngineState | None) -> tuple[int, LayerSpan | None, bool] | None:
+    return None if state is None else (state.version, state.span, state.leaving)
 
 
 class SwarmRoutes:
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -33,12 +33,14 @@
     """A model engine that loads the staged chunks when it gets an order.
 
     :param busy: number of orders rejected before one is accepted.
+    :param leaving: whether its answers say that it leaves.
     """
 
     version: int = 0
     staged: dict[int, bytes] = field(default_factory=dict)
     loaded: list[tuple[int, bool]] = field(default_factory=list)
     busy: int = 0
+    leaving: bool = False
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the engine's calls."""
@@ -61,7 +63,8 @@
                 "running": 3,
                 "kvUsed": 1,
                 "kvTotal": 10,
-            }
+            },
+            headers={"Server-Leaving": "1"} if self.leaving else None,
         )
 
     async def _read(self, request: web.Request) -> web.Response:
@@ -209,6 +212,18 @@
                 pass
         assert (report["running"], report["loading"]) == (3, False)
 
+    async def test_reports_that_its_engine_says_it_leaves(
+        self, agent: tuple[asyncio.subprocess.Process, str], engine: StandinEngine
+    ) -> None:
+        """Guards against a leaving engine that entry nodes learn of only by sending to it."""
+        await _wait_for_version(engine, 1)
+        url = f"http://{agent[1]}/reports"
+        async with asyncio.timeout(10), ClientSession() as client, client.get(url) as response:
+            assert not json.loads(await response.content.readline())["leaving"]
+            engine.leaving = True
+            while not json.loads(await response.content.readline())["leaving"]:
+                pass
+
     async def test_stops_on_sigterm(
         self, agent: tuple[asyncio.subprocess.Process, str], engine: StandinEngine
     ) -> None:
