--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -13,6 +13,7 @@
 )
 from wrenloft_routing._crash_routes import CrashRoutes
 from wrenloft_routing._departures import Departure, DepartureLedger, DepartureSource
+from wrenloft_routing._endpoint_routes import EndpointRoutes
 from wrenloft_routing._endpoints import (
     IDLE_CONNECTION_SECONDS,
     NO_DENIAL,
@@ -117,6 +118,7 @@
     "Eligible",
     "Endpoint",
     "EndpointFailure",
+    "EndpointRoutes",
     "EndpointState",
     "Endpoints",
     "EngineReport",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -61,6 +61,8 @@
     "wrenloft_endpoint_notices", "Answers by what they say of their endpoint", ["notice"]
 )
 
+LEAVING = Gauge("wrenloft_endpoints_leaving", "Listed endpoints that are leaving")
+
 MAX_LOGGED_TEXT = 40
 """Characters of an unreadable header that are logged."""
 
@@ -258,6 +260,7 @@
         self.rests = RestLedger()
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._by_address: dict[str, list[EndpointState]] = {}
+        LEAVING.set_function(lambda: sum(each.leaving for each in self._states.values()))
         self.peer_loads = PeerLoads()
         self.changed = asyncio.Event()
         self.revision = 0
@@ -365,6 +368,10 @@
             if state.in_progress != NO_LOAD
         }
 
+    def list_all(self) -> list[EndpointState]:
+        """Return all known endpoints by id."""
+        return [self._states[agent_id] for agent_id in sorted(self._states)]
+
     def get(self, agent_id: AgentId) -> EndpointState | None:
         """Return an endpoint's state, if it is known."""
         return self._states.get(agent_id)
--- a/packages/wrenloft/src/wrenloft/_cli.py
+++ b/packages/wrenloft/src/wrenloft/_cli.py
@@ -465,6 +465,39 @@
         return EXIT_OK
 
 
+class _EndpointsList(_OperatorCommand):
+    name = "endpoints list"
+    description = "Lists the endpoints that leave or rest, as one entry node knows them."
+    options = [_INTERNAL, _JSON]
+
+    def handle(self) -> int:
+        return self.run_call(self._list)
+
+    async def _list(self) -> int:
+        answer = await self.client().get("endpoints")
+        if self.option("json"):
+            self.line(json.dumps(answer, indent=2))
+            return EXIT_OK
+        for each in answer["endpoints"]:
+            self.line(describe_endpoint(each))
+        if not answer["endpoints"]:
+            self.line("no endpoint leaves or rests")
+        return EXIT_OK
+
+
+def describe_endpoint(row: dict[str, Any]) -> str:
+    """Return one line about an endpoint that leaves or rests.
+
+    :param row: as an entry node lists it.
+    """
+    states = []
+    if row["leaving_from"] is not None:
+        states.append(f"leaving for {row['leaving_s']:.0f} s (source: {row['leaving_from']})")
+    if row["rest_left_s"]:
+        states.append(f"rests for {row['rest_left_s']:.1f} s more")
+    return f"{row['endpoint']}  {', '.join(states)} ({row['service']} at {row['address']})"
+
+
 def describe_limit(row: dict[str, Any]) -> str:
     """Return one line about a rate limit in force.
 
@@ -529,6 +562,7 @@
         _Drain,
         _HeldList,
         _HeldLift,
+        _EndpointsList,
         _LimitsList,
         _KeyHash,
         _Manifest,
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -12,7 +12,7 @@
 from aiohttp import ClientError, ClientSession
 
 from .conftest import LOOPBACK, NoticingEndpoint, StandinStore
-from .test_crashing_content import start_entries
+from .test_crashing_content import run_command, start_entries
 from .test_programs import CONFIGURATION, KEY, Entry
 
 SEED = 7
@@ -117,3 +117,20 @@
         for each in others:
             await fleet.send(each)
     assert {node for node, _ in leaving.noticed} == {first.settings["name"]}
+
+
+async def test_command_lists_leaving_and_resting_endpoints(fleet: Fleet) -> None:
+    node = fleet.entries[0].settings
+    address = f"{node['ip']}:{node['internal_port']}"
+    expected = (0, "no endpoint leaves or rests")
+    assert await run_command("endpoints", "list", "--node", address) == expected
+    for each in fleet.endpoints:
+        each.leaving, each.rest = "1", ["600"]
+    async with asyncio.timeout(20):
+        while not all(each.noticed for each in fleet.endpoints):
+            await fleet.send(fleet.entries[0])
+    code, text = await run_command("endpoints", "list", "--node", address)
+    assert code == 0, text
+    lines = text.splitlines()
+    assert [line.partition(" ")[0] for line in lines] == ["i-0", "i-1", "i-2"]
+    assert all("(source: answer), rests for 5" in line for line in lines)
