--- a/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
@@ -49,10 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreSnapshot:
-    """Items of the store, and the store's revision at which they were read."""
+    """Items of the store, and the store's revision at which they were read.
+
+    :param era: rises by one whenever the store comes back from an older copy of its content, after
+        which it gives out revisions again.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
     def list_revisions(self) -> dict[str, int]:
         """Return the revision of each key."""
@@ -134,6 +139,7 @@
         self._refresh_signal = Signal()
         self._changes = changes
         self.latest: ReceivedSnapshot | None = None
+        self._rejected_for: StoreSnapshot | None = None
 
     @property
     def age(self) -> float:
@@ -250,6 +256,7 @@
     def accept(self, received: ReceivedSnapshot) -> None:
         """Accept a snapshot unless a newer one is known."""
         if self.latest is not None and received.snapshot.revision < self.latest.snapshot.revision:
+            self._note_rejection(received.snapshot, self.latest.snapshot)
             return
         if self.latest is not None and received.begun_at <= self.latest.begun_at:
             return
@@ -263,6 +270,22 @@
         if before is None or before.list_revisions() != received.snapshot.list_revisions():
             self._changes.fire()
 
+    def _note_rejection(self, snapshot: StoreSnapshot, known: StoreSnapshot) -> None:
+        """Log a rejected snapshot, once for each snapshot that it is older than."""
+        if self._rejected_for is known:
+            return
+        self._rejected_for = known
+        note(
+            _LOG,
+            "store snapshot rejected as older",
+            name=self.name,
+            revision=snapshot.revision,
+            era=snapshot.era,
+            known_revision=known.revision,
+            known_era=known.era,
+            known_age_ms=round(self.age * 1000),
+        )
+
 
 class SnapshotMirror:
     """A relay's snapshots, rebuilt from the changes that arrive over one connection.
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -52,6 +52,7 @@
     :param refuse: whether to answer 503 to every call and do nothing.
     :param lost_answers: number of calls to carry out without a response, closing their connections.
     :param compacted: revisions up to this one are gone from the history.
+    :param era: rises with each return from an older copy; 0 names none.
     """
 
     items: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -62,6 +63,7 @@
     lost_answers: int = 0
     compacted: int = 0
     page: int = 500
+    era: int = 1
     calls: list[str] = field(default_factory=list)
     address: str = ""
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -89,6 +91,17 @@
         self.log.append({"key": key, "revision": self.revision, "tombstone": True})
         self._wake()
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy from which the store may come back."""
+        return StoreCopy(dict(self.items), list(self.log), dict(self.leases), self.revision)
+
+    def restore(self, older: "StoreCopy") -> None:
+        """Come back from an older copy: later writes are lost, revisions are given out again."""
+        self.items, self.log = dict(older.items), list(older.log)
+        self.leases, self.revision = dict(older.leases), older.revision
+        self.era += 1
+        self._wake()
+
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -112,9 +125,11 @@
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path}")
+        headers = {"Store-Era": str(self.era)} if self.era else {}
         if self.refuse:
-            return web.Response(status=503)
+            return web.Response(status=503, headers=headers)
         response: web.StreamResponse = await handler(request)
+        response.headers.update(headers)
         if self.lost_answers > 0:
             self.lost_answers -= 1
             assert request.transport is not None
@@ -142,7 +157,7 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
-        if after < self.compacted:
+        if after < self.compacted or after > self.revision:
             return web.json_response({}, status=410)
         prefix = request.query["prefix"]
         changed = self.changed
@@ -155,6 +170,8 @@
                     await changed.wait()
             except TimeoutError:
                 pass
+            if after > self.revision:
+                return web.json_response({}, status=410)
             events = [
                 each
                 for each in self.log
@@ -196,6 +213,16 @@
         return web.json_response({})
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Content of a stand-in store at some moment."""
+
+    items: dict[str, dict[str, Any]]
+    log: list[dict[str, Any]]
+    leases: dict[int, int]
+    revision: int
+
+
 @dataclass
 class Received:
     """A request as a stand-in endpoint read it."""
