Order what the store says by its era, then by its revision

What callers saw: after the store came back from an older copy, no change was in force until its revisions had passed the last one read, up to ten seconds; revoked keys stayed, leaving endpoints got requests, and after two and a half seconds every request with a key was refused because nothing proved the configuration current. After the return it is lower, and the same revisions name other values. Ruled out: no reads (hundreds a second), and frames that don't arrive (relays apply nothing either). A list whose pages are of two eras fails and is read again; changes and watches of another era lead to a full read; frames send what differs by content; decoded entries are kept by content. A lower era never replaces a higher one. After a rise, missing entries count as expired for 2.2 s, as after an outage.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -38,6 +38,7 @@
 
     :param begun_at: when the read of the store began, on the sender's clock.
     :param trusted: whether missing entries were removed, rather than only expired.
+    :param era: of the store, which orders snapshots before their revisions do.
     """
 
     name: str
@@ -46,6 +47,7 @@
     revision: int
     changed: tuple[Item, ...]
     removed: tuple[str, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,7 @@
         fields["states"] = {node: state.value for node, state in frame.states.items()}
     if frame.store_deltas:
         fields["readings"] = [_encode_delta(each) for each in frame.store_deltas]
+        fields["eras"] = [each.era for each in frame.store_deltas]
     if frame.crashes:
         fields["crashes"] = encode_crashes(frame.crashes)
     if frame.limits:
@@ -116,6 +119,8 @@
 
 
 def _decode_fields(fields: dict[str, Any]) -> Frame:
+    rows = fields.get("readings", [])
+    eras = fields.get("eras", [0] * len(rows))
     return Frame(
         sent_at=float(fields["at"]),
         node_count=int(fields["heard"]),
@@ -126,7 +131,9 @@
         },
         lost=tuple(str(each) for each in fields.get("lost", [])),
         states={NodeId(node): NodeState(value) for node, value in fields.get("states", {}).items()},
-        store_deltas=tuple(_decode_delta(each) for each in fields.get("readings", [])),
+        store_deltas=tuple(
+            _decode_delta(row, int(era)) for row, era in zip(rows, eras, strict=True)
+        ),
         crashes=decode_crashes(fields.get("crashes", {})),
         limits=decode_limits(fields.get("limits", [])),
         departures=decode_departures(fields.get("leaving", {})),
@@ -263,7 +270,7 @@
     ]
 
 
-def _decode_delta(row: list[Any]) -> StoreDelta:
+def _decode_delta(row: list[Any], era: int) -> StoreDelta:
     name, begun_at, trusted, revision, packed, removed = row
     return StoreDelta(
         name=str(name),
@@ -272,4 +279,5 @@
         revision=int(revision),
         changed=unpack_items(packed),
         removed=tuple(str(each) for each in removed),
+        era=era,
     )
--- a/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
@@ -63,11 +63,16 @@
         """Return the revision of each key."""
         return {each.key: each.revision for each in self.items}
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Order of snapshots: by era, then by revision, which is lower again in the next era."""
+        return self.era, self.revision
+
     @property
     def digest(self) -> str:
         """Hash that identifies the content of the snapshot."""
         content = "/".join(f"{each.key}@{each.revision}" for each in self.items)
-        return blake3(content.encode()).hexdigest(8)
+        return blake3(f"{self.era}/{content}".encode()).hexdigest(8)
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,21 +260,41 @@
 
     def accept(self, received: ReceivedSnapshot) -> None:
         """Accept a snapshot unless a newer one is known."""
-        if self.latest is not None and received.snapshot.revision < self.latest.snapshot.revision:
-            self._note_rejection(received.snapshot, self.latest.snapshot)
+        known, snapshot = self.latest, received.snapshot
+        if known is not None and not self._is_newer(received, known):
             return
-        if self.latest is not None and received.begun_at <= self.latest.begun_at:
-            return
-        if self.latest is not None and received.begun_at - self.latest.begun_at > OUTAGE_SECONDS:
+        if known is not None and 0 < known.snapshot.era < snapshot.era:
+            # Entries written since the older copy was made are missing, as after an outage.
+            self._outage_ended_at = received.begun_at
+            self._note_era(snapshot, known.snapshot)
+        elif known is not None and received.begun_at - known.begun_at > OUTAGE_SECONDS:
             self._outage_ended_at = received.begun_at
             note(_LOG, "store reads resumed", name=self.name, gap=round(self.age, 2))
-        before = None if self.latest is None else self.latest.snapshot
         settled = received.begun_at - self._outage_ended_at > OUTAGE_GRACE_SECONDS
         self.latest = replace(received, trusted=received.trusted and settled)
         self._on_snapshot(self.latest)
-        if before is None or before.list_revisions() != received.snapshot.list_revisions():
+        if known is None or _differs(known.snapshot, snapshot):
             self._changes.fire()
 
+    def _is_newer(self, received: ReceivedSnapshot, known: ReceivedSnapshot) -> bool:
+        if received.snapshot.position < known.snapshot.position:
+            self._note_rejection(received.snapshot, known.snapshot)
+            return False
+        return received.snapshot.era > known.snapshot.era or received.begun_at > known.begun_at
+
+    def _note_era(self, snapshot: StoreSnapshot, known: StoreSnapshot) -> None:
+        lost = known.list_revisions().keys() - snapshot.list_revisions().keys()
+        note(
+            _LOG,
+            "store era changed",
+            name=self.name,
+            era=snapshot.era,
+            era_before=known.era,
+            revision=snapshot.revision,
+            revision_before=known.revision,
+            lost_keys=len(lost),
+        )
+
     def _note_rejection(self, snapshot: StoreSnapshot, known: StoreSnapshot) -> None:
         """Log a rejected snapshot, once for each snapshot that it is older than."""
         if self._rejected_for is known:
@@ -287,6 +312,10 @@
         )
 
 
+def _differs(one: StoreSnapshot, other: StoreSnapshot) -> bool:
+    return one.era != other.era or one.list_revisions() != other.list_revisions()
+
+
 class SnapshotMirror:
     """A relay's snapshots, rebuilt from the changes that arrive over one connection.
 
@@ -304,7 +333,7 @@
             items.pop(key, None)
         for item in change.changed:
             items[item.key] = item
-        snapshot = StoreSnapshot(tuple(items.values()), change.revision)
+        snapshot = StoreSnapshot(tuple(items.values()), change.revision, change.era)
         return ReceivedSnapshot(snapshot, change.begun_at - self._clock_lead, change.trusted)
 
 
@@ -327,6 +356,7 @@
             "age": shared.age,
             "trusted": received.trusted,
             "revision": received.snapshot.revision,
+            "era": received.snapshot.era,
         }
         if request.query.get("known") != received.snapshot.digest:
             fields["items"] = pack_items(received.snapshot.items)
@@ -334,12 +364,12 @@
 
 
 def _decode(fields: dict[str, object], known: ReceivedSnapshot | None) -> StoreSnapshot:
-    revision = fields["revision"]
-    if not isinstance(revision, int):
-        raise ValueError("revision is not a number")
+    revision, era = fields["revision"], fields.get("era", 0)
+    if not isinstance(revision, int) or not isinstance(era, int):
+        raise ValueError("revision or era is not a number")
     items = fields.get("items")
     if items is None:
         if known is None:
             raise ValueError("response has no items and none are known here")
-        return StoreSnapshot(known.snapshot.items, revision)
-    return StoreSnapshot(unpack_items(items), revision)
+        return StoreSnapshot(known.snapshot.items, revision, era)
+    return StoreSnapshot(unpack_items(items), revision, era)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
@@ -9,6 +9,7 @@
 from wrenloft_routing._frames import Frame, FrameScope, StoreDelta
 from wrenloft_routing._loads import NO_LOAD, InProgress, LoadUpdate, PeerLoads, QueueLength
 from wrenloft_routing._members import Members, NodeState
+from wrenloft_routing._packing import Item
 from wrenloft_routing._store_snapshots import SharedSnapshot
 
 SUM_CACHE_SECONDS = 0.01
@@ -184,7 +185,7 @@
         self._crash_revision = 0
         self._limit_revision = 0
         self._departure_revision = 0
-        self._revisions: dict[str, dict[str, int]] = {}
+        self._items: dict[str, dict[str, Item]] = {}
         self._begun_at: dict[str, float] = {}
 
     def compose(self, now: float) -> tuple[Frame, bool]:
@@ -257,15 +258,17 @@
         if latest is None or self._begun_at.get(shared.name) == latest.begun_at:
             return None
         self._begun_at[shared.name] = latest.begun_at
-        sent = self._revisions.get(shared.name, {})
+        sent = self._items.get(shared.name, {})
         items = shared.list_items(for_agents=self._scope is FrameScope.STORE)
-        current = {each.key: each.revision for each in items}
-        self._revisions[shared.name] = current
+        current = {each.key: each for each in items}
+        self._items[shared.name] = current
         return StoreDelta(
             name=shared.name,
             begun_at=latest.begun_at,
             trusted=latest.trusted,
             revision=latest.snapshot.revision,
-            changed=tuple(each for each in items if sent.get(each.key) != each.revision),
+            # By content: the next era gives out the same revisions for other values.
+            changed=tuple(each for each in items if sent.get(each.key) != each),
             removed=tuple(sent.keys() - current.keys()),
+            era=latest.snapshot.era,
         )
--- a/packages/wrenloft-routing/tests/test_local_state.py
+++ b/packages/wrenloft-routing/tests/test_local_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -451,6 +452,47 @@
             shared.accept(ReceivedSnapshot(StoreSnapshot((), 6), 101.0, True))
         assert [each.snapshot.revision for each in received] == [7]
 
+    @pytest.mark.parametrize("revision", [1, 6, 7, 8, 5000])
+    async def test_next_era_replaces_whatever_its_revisions_are(self, revision: int) -> None:
+        """Guards against nodes that reject a store whose revisions went back.
+
+        Its answers may cross: one of the former era that arrives later changes nothing.
+        """
+        received: list[ReceivedSnapshot] = []
+
+        async def fetch() -> StoreSnapshot:
+            raise PlatformUnavailableError("away", step="list")
+
+        before = StoreSnapshot((Item("k", b"lost", 7),), 7, era=3)
+        after = StoreSnapshot((Item("k", b"new", revision),), revision, era=4)
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, received, session)
+            shared.accept(ReceivedSnapshot(before, 100.0, True))
+            shared.accept(ReceivedSnapshot(after, 99.9, True))
+            shared.accept(ReceivedSnapshot(replace(before, revision=9000), 101.0, True))
+            twice = StoreSnapshot((), 3, era=6)
+            shared.accept(ReceivedSnapshot(twice, 102.0, True))
+        assert [each.snapshot for each in received] == [before, after, twice]
+
+    async def test_entries_missing_from_an_older_copy_are_not_removed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against dropping endpoints whose entries the store has lost and gets again."""
+        clock = _Clock()
+        monkeypatch.setattr("wrenloft_routing._store_snapshots.read_clock", clock.read)
+        received: list[ReceivedSnapshot] = []
+        eras = iter([1, 1, 2, 2, 2, 2, 2])
+
+        async def fetch() -> StoreSnapshot:
+            return StoreSnapshot((), 5, next(eras))
+
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, received, session)
+            for _ in range(7):
+                clock.now += 0.7
+                await shared.read()
+        assert [each.trusted for each in received] == [True, True, *[False] * 4, True]
+
     async def test_one_relay_reads_for_all(self) -> None:
         """The first zone's relay reads the store; the others take over in order when it fails.
 
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -127,6 +127,7 @@
             revision=st.integers(0, 99),
             changed=st.lists(items, max_size=2).map(tuple),
             removed=st.lists(st.sampled_from("abc"), max_size=2).map(tuple),
+            era=st.integers(0, 3),
         ),
         max_size=2,
     ).map(tuple),
@@ -205,6 +206,21 @@
 class TestFrameWriter:
     """Tests for ``FrameWriter``."""
 
+    async def test_same_revisions_of_the_next_era_are_sent(self) -> None:
+        """Guards against subscribers that keep values which the store has lost."""
+        async with _relay() as relay:
+            writer, mirror = relay.open_writer(FrameScope.FLEET), SnapshotMirror(0.0)
+            values = []
+            for era, value in ((1, b"lost"), (2, b"new")):
+                items = (Item("a", value, 5), Item("b", b"same", 4))
+                relay.shared.accept(ReceivedSnapshot(StoreSnapshot(items, 5, era), era, True))
+                frame, _ = writer.compose(float(era))
+                (delta,) = decode_frame(encode_frame(frame)).store_deltas
+                snapshot = mirror.apply(delta).snapshot
+                values.append((snapshot.era, {each.key: each.value for each in snapshot.items}))
+                assert len(delta.changed) == (2 if era == 1 else 1)
+        assert values == [(1, {"a": b"lost", "b": b"same"}), (2, {"a": b"new", "b": b"same"})]
+
     async def test_subscriber_does_not_get_its_own_requests(self) -> None:
         """A node would count its own requests twice and refuse callers for it.
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -125,11 +125,12 @@
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path}")
-        headers = {"Store-Era": str(self.era)} if self.era else {}
+        response: web.StreamResponse
+        response = web.Response(status=503) if self.refuse else await handler(request)
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
         if self.refuse:
-            return web.Response(status=503, headers=headers)
-        response: web.StreamResponse = await handler(request)
-        response.headers.update(headers)
+            return response
         if self.lost_answers > 0:
             self.lost_answers -= 1
             assert request.transport is not None
--- a/tests/platform/test_ranges.py
+++ b/tests/platform/test_ranges.py
@@ -1,5 +1,6 @@
 """Tests of reading large ranges by their changes."""
 
+import base64
 from random import Random
 
 import pytest
@@ -111,3 +112,27 @@
         assert get_revisions(snapshot) == {
             key: item["revision"] for key, item in store.items.items()
         }
+
+    @pytest.mark.parametrize("lost", [1, 8, 60, 5000])
+    @pytest.mark.parametrize("written", [0, 1, 7, 60, 6000])
+    async def test_range_is_read_in_full_after_a_return_from_an_older_copy(
+        self, reader: RangeReader, store: StandinStore, lost: int, written: int
+    ) -> None:
+        """Guards against changes that are taken from revisions which were given out again.
+
+        They may lie below, at and beyond the one that was read last.
+        """
+        add_endpoints(store, LARGE_RANGE_ITEMS + 1)
+        older = store.copy()
+        for number in range(lost):
+            store.put(f"{PREFIX}{number % 300:04}", f"lost-{number}")
+        known = as_taken(await reader.read(None))
+        store.restore(older)
+        for number in range(written):
+            store.put(f"{PREFIX}{number % 400:04}", f"new-{number}")
+        snapshot = await reader.read(known)
+        assert snapshot.era == 2
+        assert {each.key: (each.revision, each.value) for each in snapshot.items} == {
+            key: (item["revision"], base64.b64decode(item["value"]))
+            for key, item in store.items.items()
+        }
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 """Tests of the client of the platform's store."""
 
+import asyncio
+
 import pytest
 from aiohttp import ClientSession
 
@@ -77,3 +79,46 @@
         assert "a/1" not in store.items
         with pytest.raises(ConditionFailedError):
             await client.renew_lease(lease)
+
+    async def test_pages_of_two_eras_are_no_list(
+        self, client: StoreClient, store: StandinStore
+    ) -> None:
+        """Guards against a list whose pages show the store before and after its return."""
+        for number in range(8):
+            store.put(f"a/{number}", number)
+        older = store.copy()
+        store.page = 3
+        build_page = store.build_page
+
+        def restore_and_build(prefix: str, after: str) -> dict[str, object]:
+            if after:
+                store.build_page = build_page  # type: ignore[method-assign]
+                store.restore(older)
+            return build_page(prefix, after)
+
+        store.build_page = restore_and_build  # type: ignore[method-assign]
+        with pytest.raises(PlatformUnavailableError):
+            await client.list("a/")
+        assert (await client.list("a/")).era == 2
+
+    async def test_waiting_watch_shows_the_next_era(
+        self, client: StoreClient, store: StandinStore
+    ) -> None:
+        """Guards against a watch that hides the store's return because nothing was cut."""
+        older = store.copy()
+        at = store.put("a/1", 1)
+        watching = asyncio.create_task(client.watch("a/", at - 1, 5.0))
+        assert (await watching).era == 1
+        watching = asyncio.create_task(client.watch("a/", at, 5.0))
+        await asyncio.sleep(0.1)
+        store.restore(older)
+        store.put("b/1", 1)
+        store.put("a/2", 2)
+        assert (await watching).era == 2
+
+    async def test_store_without_eras_is_read(
+        self, client: StoreClient, store: StandinStore
+    ) -> None:
+        store.era = 0
+        store.put("a/1", 1)
+        assert (await client.list("a/")).era == 0
