Pause after a read whose content is older than what is known

Change: such a read counts as a failed one: the node asks another one and pauses, twice as long each time up to the longest pause.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
@@ -217,15 +217,16 @@
         return pause * self._random.uniform(0.5, 1.5)
 
     async def read(self) -> bool:
-        """Read the store; return whether it answered."""
+        """Read the store; return whether it answered with content that isn't older."""
         begun = read_clock()
         try:
             snapshot = await self._fetch()
         except PlatformUnavailableError:
             return False  # logged by the client
-        self._failures = 0
         self._refresh_requested = False
-        self.accept(ReceivedSnapshot(snapshot, begun, trusted=True))
+        if not self.accept(ReceivedSnapshot(snapshot, begun, trusted=True)):
+            return False
+        self._failures = 0
         return True
 
     async def _fetch_from_peer(self, member: Member) -> None:
@@ -258,11 +259,15 @@
             return
         self.accept(received)
 
-    def accept(self, received: ReceivedSnapshot) -> None:
-        """Accept a snapshot unless a newer one is known."""
+    def accept(self, received: ReceivedSnapshot) -> bool:
+        """Accept a snapshot unless a newer one is known; return whether its content isn't older."""
         known, snapshot = self.latest, received.snapshot
-        if known is not None and not self._is_newer(received, known):
-            return
+        if known is not None and snapshot.position < known.snapshot.position:
+            self._note_rejection(snapshot, known.snapshot)
+            return False
+        same_era = known is not None and snapshot.era == known.snapshot.era
+        if known is not None and same_era and received.begun_at <= known.begun_at:
+            return True
         if known is not None and 0 < known.snapshot.era < snapshot.era:
             # Entries written since the older copy was made are missing, as after an outage.
             self._outage_ended_at = received.begun_at
@@ -275,12 +280,7 @@
         self._on_snapshot(self.latest)
         if known is None or _differs(known.snapshot, snapshot):
             self._changes.fire()
-
-    def _is_newer(self, received: ReceivedSnapshot, known: ReceivedSnapshot) -> bool:
-        if received.snapshot.position < known.snapshot.position:
-            self._note_rejection(received.snapshot, known.snapshot)
-            return False
-        return received.snapshot.era > known.snapshot.era or received.begun_at > known.begun_at
+        return True
 
     def _note_era(self, snapshot: StoreSnapshot, known: StoreSnapshot) -> None:
         lost = known.list_revisions().keys() - snapshot.list_revisions().keys()
--- a/packages/wrenloft-routing/tests/test_local_state.py
+++ b/packages/wrenloft-routing/tests/test_local_state.py
@@ -493,6 +493,24 @@
                 await shared.read()
         assert [each.trusted for each in received] == [True, True, *[False] * 4, True]
 
+    async def test_store_that_answers_with_older_content_is_read_with_pauses(self) -> None:
+        """Guards against relays that read a store hundreds of times a second in vain."""
+        received: list[ReceivedSnapshot] = []
+        reads = 0
+
+        async def fetch() -> StoreSnapshot:
+            nonlocal reads
+            reads += 1
+            await asyncio.sleep(0.001)
+            return StoreSnapshot((), 7 if reads == 1 else 6)
+
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, received, session)
+            task = asyncio.create_task(shared.run())
+            await asyncio.sleep(1.5)
+            task.cancel()
+        assert 2 < reads < 15
+
     async def test_one_relay_reads_for_all(self) -> None:
         """The first zone's relay reads the store; the others take over in order when it fails.
 
