Order configurations by the number that operators gave them

Cause: the order was the store's alone, which says when something was written there, not what is newer. Change: a configuration applies if its number is higher; era and revision decide between equal numbers, and between documents without one. The reduced document for agents bears the number as well.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_table.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_table.py
@@ -115,7 +115,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
-    """The configuration in force at one revision; replaced whole, never changed."""
+    """The configuration in force at one revision; replaced whole, never changed.
+
+    :param version: number that operators gave it, which only rises, 0 if none.
+    """
 
     revision: Revision
     rules: tuple[Rule, ...]
@@ -124,6 +127,7 @@
     callers: Mapping[str, Caller] = field(default_factory=dict)
     keyed: bool = False
     origin: Origin | None = None
+    version: int = 0
     _by_host: Mapping[str, Sequence[Rule]] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
--- a/tests/platform/test_agent_documents.py
+++ b/tests/platform/test_agent_documents.py
@@ -33,7 +33,8 @@
         documents.reduce((build_configuration(3, 10),))
         (item,) = documents.reduce((build_configuration(4, 10, [*SERVICES, {"name": "other"}]),))
         assert item.revision == 4
-        assert set(decode_table(item.value or b"", item.revision).services) == {"plain", "other"}
+        table = decode_table(item.value or b"", item.revision)
+        assert (set(table.services), table.version) == ({"plain", "other"}, 4)
 
     def test_malformed_configuration_is_passed_on(self) -> None:
         """The reader logs the error; the node that passes it on keeps running."""
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -78,3 +78,19 @@
     await asyncio.sleep(written_at + APPLY_SECONDS - asyncio.get_running_loop().time())
     await fleet.load(30.0, 3.0)
     assert not [at for _, at in leaving.arrivals if at > written_at + APPLY_SECONDS]
+
+
+@pytest.mark.parametrize("noticed", [False, True])
+async def test_configuration_that_the_store_lost_stays_in_force(
+    fleet: Fleet, noticed: bool
+) -> None:
+    """Guards against nodes that go back to an older configuration with the store."""
+    await lose_writes(fleet, 8, noticed=noticed)
+    until = asyncio.get_running_loop().time() + 3.0
+    while asyncio.get_running_loop().time() < until:
+        assert await list_statuses(fleet, "/lost/x") == {200}
+        await asyncio.sleep(0.1)
+    fleet.store.put("op/config", build_configuration(5, ["k1", "k2"], "lost"))
+    await asyncio.sleep(APPLY_SECONDS)
+    fleet.store.put("op/config", build_configuration(6, ["k1", "k2"]))
+    await wait_for_status(fleet, "/lost/x", 404)
