--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -94,3 +94,25 @@
     await asyncio.sleep(APPLY_SECONDS)
     fleet.store.put("op/config", build_configuration(6, ["k1", "k2"]))
     await wait_for_status(fleet, "/lost/x", 404)
+
+
+async def test_nodes_whose_entries_the_store_lost_register_again(fleet: Fleet) -> None:
+    """Guards against nodes that nobody finds, or that renew what is now another's lease."""
+    store = fleet.store
+    keys = {f"wrenloft/entry/{node}" for node in fleet.nodes}
+    assert keys <= set(store.items)
+    older = store.copy()
+    for key in keys:
+        del older.items[key]
+    older.leases.clear()
+    store.restore(older)
+    store.leases[1] = 60_000  # of another process
+    store.put("wrenloft/other", {}, 1)
+    async with asyncio.timeout(4.0):
+        while not keys <= set(store.items):
+            await asyncio.sleep(0.05)
+    first = fleet.entries[0]
+    first.process.terminate()
+    await first.process.communicate()
+    assert "wrenloft/other" in store.items
+    assert f"wrenloft/entry/{fleet.nodes[0]}" not in store.items
