--- a/tests/platform/test_seeds.py
+++ b/tests/platform/test_seeds.py
@@ -5,9 +5,10 @@
 import pytest
 from aiohttp import ClientSession
 
-from wrenloft_core import PlaceName, PlatformUnavailableError
+from wrenloft_core import PlaceName, PlatformUnavailableError, read_clock
 from wrenloft_platform._seeds import Seed, SeedRegistry
 from wrenloft_platform._store import StoreClient
+from wrenloft_routing import ReceivedSnapshot
 
 from .conftest import StandinStore
 
@@ -21,6 +22,12 @@
     return StoreClient(session, store.address)
 
 
+async def read_shared(client: StoreClient) -> ReceivedSnapshot:
+    """Read what entry nodes wrote."""
+    begun_at = read_clock()
+    return ReceivedSnapshot(await client.list("wrenloft/"), begun_at, True)
+
+
 class TestSeedRegistry:
     """Tests for ``SeedRegistry``."""
 
@@ -72,9 +79,27 @@
         """A connected seed stays; a lost one is replaced by the zone's relay, once."""
         store.put(KEY, {"internal": "h1:1", "large": True})
         seeds = SeedRegistry(client, PLACE, "h2:1")
-        seeds.apply(await client.list("wrenloft/"))
+        seeds.apply(await read_shared(client))
         await seeds.update(lambda address: address == "h1:1")
         await seeds.update(lambda _: False)
         await seeds.update(lambda _: False)
         assert await seeds.find() == Seed("h2:1", large=True)
         assert store.calls.count("POST /kv-txn") == 1
+
+    async def test_seed_that_the_store_lost_is_registered_again(
+        self, client: StoreClient, store: StandinStore
+    ) -> None:
+        """Guards against a zone without a seed after the store came back from an older copy."""
+        older = store.copy()
+        seeds = SeedRegistry(client, PLACE, "h1:1")
+        await seeds.update(lambda _: True)
+        unread = await read_shared(client)
+        store.restore(older)
+        await seeds.update(lambda _: True)
+        assert await seeds.find() is None
+        seeds.apply(await read_shared(client))
+        await seeds.update(lambda _: True)
+        assert await seeds.find() == Seed("h1:1", large=True)
+        seeds.apply(unread)
+        await seeds.update(lambda _: True)
+        assert store.calls.count("POST /kv-txn") == 2
