Repeat recent writes of quarantines after the store came back from an older copy

A quarantine that the store lost would not outlive all processes and one more endpoint crashes at each node that starts; an ended one that is back is applied by such nodes. Two calls for each quarantine and node that had written it, none if there are none. Claims of probes are not repeated: a second node may probe the same content once. Before: no such call; the new tests fail. After: they pass.

--- a/tests/platform/test_quarantines.py
+++ b/tests/platform/test_quarantines.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
+from random import Random
 
 import pytest
 from aiohttp import ClientSession
@@ -116,3 +117,22 @@
     assert reported.age == 541.5
     (reported,) = decode_quarantines(StoreSnapshot((item,), 1), 990.0)[CONTENT].values()
     assert reported.age == 1.5
+
+
+@pytest.mark.parametrize("ended", [False, True])
+async def test_writes_that_the_store_lost_are_repeated(
+    client: StoreClient, store: StandinStore, ended: bool
+) -> None:
+    """Guards against quarantines that are lost, or back, after a return from an older copy."""
+    quarantines = StoredQuarantines(client)
+    older = store.copy()
+    quarantines.keep(CONTENT, CRASHES)
+    await _wait_for(store, present=True)
+    if ended:
+        older = store.copy()
+        quarantines.drop(CONTENT)
+        await _wait_for(store, present=False)
+    store.restore(older)
+    quarantines.replay(Random(1))
+    await _wait_for(store, present=not ended)
+    await quarantines.close()
