Leave out ended endpoints that an older copy of the list shows again

An endpoint that ended or left without a word within the lost seconds is listed again as ready when the store comes back, until its entry expires; it may still serve for a while, and would get requests after the store had acknowledged that it is gone. One that is still there is alive. Another incarnation is used at once. 4,096 are remembered. Before: the new test fails (listed at once); after: it passes.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
@@ -18,6 +18,7 @@
     RegionName,
     ServiceName,
     note,
+    read_clock,
 )
 from wrenloft_policy import (
     ALL_LAYERS,
@@ -69,6 +70,13 @@
 MAX_SENT_TIMES = 64
 """Times of sent requests kept per endpoint: four times an engine's slots, sent within a second."""
 
+RETURN_GRACE_SECONDS = 4.0
+"""Time after the last snapshot that isn't trusted in which endpoints that were gone before are not
+used: entries of ended ones expire within three heartbeats of 1.2 s."""
+
+MAX_GONE = 4096
+"""Endpoints remembered as gone, about 0.5 MB: more than 3,000 that are all replaced at once."""
+
 IDLE_CONNECTION_SECONDS = 4.0
 """Seconds for which an idle connection to an endpoint is kept. Shorter than the endpoints' own
 keep-alive timeout, so that no request is sent on a connection that is being closed."""
@@ -257,6 +265,8 @@
         self._region = region
         self._states: dict[AgentId, EndpointState] = {}
         self.departures = DepartureLedger()
+        self._gone: OrderedDict[AgentId, int] = OrderedDict()
+        self._distrusted_at = float("-inf")
         self.rests = RestLedger()
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._by_address: dict[str, list[EndpointState]] = {}
@@ -284,16 +294,37 @@
             while the store is unavailable although their endpoints are alive; removing them would
             empty the list at a time when it can't be refilled.
         """
-        seen = {each.agent_id: each for each in listed}
+        now = read_clock()
+        if not trusted:
+            self._distrusted_at = now
+        settled = now - self._distrusted_at > RETURN_GRACE_SECONDS
+        seen = {each.agent_id: each for each in listed if settled or not self._is_gone(each)}
         for agent_id, endpoint in seen.items():
             self._update_endpoint(agent_id, endpoint)
         for agent_id, state in list(self._states.items()):
             if agent_id not in seen and trusted:
                 del self._states[agent_id]
+                self._record_gone(state.endpoint)
                 _export_rate_limit(agent_id, None)
                 note(_LOG, "endpoint gone", endpoint=agent_id, service=state.endpoint.service)
         self._index()
 
+    def _record_gone(self, endpoint: Endpoint) -> None:
+        self._gone[endpoint.agent_id] = endpoint.born
+        self._gone.move_to_end(endpoint.agent_id)
+        if len(self._gone) > MAX_GONE:
+            self._gone.popitem(last=False)
+
+    def _is_gone(self, endpoint: Endpoint) -> bool:
+        """Return whether an incarnation that isn't listed was removed from the list before.
+
+        A store that comes back from an older copy lists endpoints again that have ended, until
+        their entries expire.
+        """
+        if endpoint.agent_id in self._states:
+            return False
+        return self._gone.get(endpoint.agent_id, -1) >= endpoint.born
+
     def _update_endpoint(self, agent_id: AgentId, endpoint: Endpoint) -> None:
         state = self._states.get(agent_id)
         if state is not None and endpoint.born < state.endpoint.born:
--- a/packages/wrenloft-routing/tests/test_local_state.py
+++ b/packages/wrenloft-routing/tests/test_local_state.py
@@ -139,6 +139,27 @@
         endpoints.update([], trusted=True)
         assert not endpoints.of_service(SERVICE)
 
+    def test_ended_endpoint_that_an_older_copy_lists_is_not_used(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests to endpoints that ended before the store came back older.
+
+        One that is still listed seconds later is alive, and so is another incarnation of it.
+        """
+        clock = _Clock()
+        monkeypatch.setattr("wrenloft_routing._endpoints.read_clock", clock.read)
+        endpoints = Endpoints(PLACE, REGION)
+        endpoints.update([_endpoint("a", born=5), _endpoint("b", born=5)], trusted=True)
+        endpoints.update([], trusted=True)
+        clock.now += 1.0
+        restored = [_endpoint("a", born=5), _endpoint("b", born=6), _endpoint("c")]
+        names = []
+        for pause, trusted in ((0.0, False), (2.0, False), (3.0, True), (2.0, True)):
+            clock.now += pause
+            endpoints.update(restored, trusted=trusted)
+            names.append("".join(s.endpoint.agent_id for s in endpoints.list_all()))
+        assert names == ["bc", "bc", "bc", "abc"]
+
     def test_lapsed_endpoint_that_returns_is_used_again(self) -> None:
         """An expired entry is not a leaving mark."""
         endpoints = Endpoints(PLACE, REGION)
