--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -894,6 +894,170 @@
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_urgent_request_retries_where_a_less_urgent_one_was_denied",
     ),
+    Safeguard(
+        "an answer that says that its endpoint leaves is heeded",
+        f"{ROUTING}/_endpoints.py",
+        "self.record_departure(endpoint.agent_id, endpoint.born, DepartureSource.ANSWER)",
+        "pass",
+        f"{ROUTING_TESTS}/test_forward.py::TestLeaving"
+        "::test_endpoint_gets_nothing_after_any_answer_that_says_so",
+    ),
+    Safeguard(
+        "leaving outlives what the list says",
+        f"{ROUTING}/_endpoints.py",
+        "departure = self.departures.find(agent_id, endpoint.born)",
+        "departure = None",
+        f"{ROUTING_TESTS}/test_local_state.py::TestEndpoints"
+        "::test_leaving_told_by_an_answer_outlives_what_the_list_says",
+    ),
+    Safeguard(
+        "leaving ends with the incarnation",
+        f"{ROUTING}/_departures.py",
+        "return known if known is not None and known.born >= born else None",
+        "return known",
+        f"{ROUTING_TESTS}/test_local_state.py::TestEndpoints"
+        "::test_leaving_ends_with_the_incarnation",
+    ),
+    Safeguard(
+        "a request that waited for a grant is placed anew if its endpoint leaves",
+        f"{ROUTING}/_forward.py",
+        "elif all(each.is_open(read_clock()) for each in placed.states):",
+        "else:",
+        f"{ROUTING_TESTS}/test_forward.py::TestLeaving"
+        "::test_request_that_waits_for_a_grant_goes_elsewhere",
+    ),
+    Safeguard(
+        "nodes tell each other of leaving endpoints",
+        f"{ROUTING}/_endpoints.py",
+        "self.record_departure(agent_id, born, DepartureSource.PEER)",
+        "pass",
+        f"{ADAPTER_TESTS}/test_leaving.py::test_nodes_tell_each_other_of_leaving_endpoints",
+    ),
+    Safeguard(
+        "a resting endpoint is left out",
+        f"{ROUTING}/_endpoints.py",
+        "return not self.leaving and self.rest_until <= now",
+        "return not self.leaving",
+        f"{ROUTING_TESTS}/test_rest_fleet.py::test_no_node_disturbs_resting_endpoints",
+    ),
+    Safeguard(
+        "a shorter rest does not end a longer one",
+        f"{ROUTING}/_rests.py",
+        "if end <= known:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_rest_fleet.py"
+        "::test_rest_ends_when_all_that_were_asked_for_have_ended",
+    ),
+    Safeguard(
+        "a rest outlives the entry of the list",
+        f"{ROUTING}/_endpoints.py",
+        "rest_until = self.rests.find_end(endpoint.incarnation)",
+        "rest_until = 0.0",
+        f"{ROUTING_TESTS}/test_rest_fleet.py::test_rest_holds_whatever_comes_after_it",
+    ),
+    Safeguard(
+        "requests are refused at once while all endpoints rest",
+        f"{ROUTING}/_gate.py",
+        "rest_end = None if eligible else self._find_rest_end(service, tried, now)",
+        "rest_end = None",
+        f"{ROUTING_TESTS}/test_forward.py::TestRests"
+        "::test_request_is_refused_at_once_when_all_endpoints_rest",
+    ),
+    Safeguard(
+        "callers return at different times after a rest",
+        f"{POLICY}/_rests.py",
+        "return max(0.0, wait) + random.uniform(*shares) * spread",
+        "return max(0.0, wait) + shares[0] * spread",
+        f"{POLICY_TESTS}/test_rests.py::TestPickRestRetryAfter"
+        "::test_callers_do_not_return_together",
+    ),
+    Safeguard(
+        "the store's era orders snapshots before their revisions do",
+        f"{ROUTING}/_store_snapshots.py",
+        "return self.era, self.revision",
+        "return 0, self.revision",
+        f"{ROUTING_TESTS}/test_local_state.py::TestSharedSnapshot"
+        "::test_next_era_replaces_whatever_its_revisions_are",
+    ),
+    Safeguard(
+        "entries missing from an older copy count as expired",
+        f"{ROUTING}/_store_snapshots.py",
+        "if known is not None and 0 < known.snapshot.era < snapshot.era:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_local_state.py::TestSharedSnapshot"
+        "::test_entries_missing_from_an_older_copy_are_not_removed",
+    ),
+    Safeguard(
+        "frames send what differs by content",
+        f"{ROUTING}/_zone_view.py",
+        "changed=tuple(each for each in items if sent.get(each.key) != each),",
+        "changed=tuple(each for each in items if each.key not in sent\n"
+        "            or sent[each.key].revision != each.revision),",
+        f"{ROUTING_TESTS}/test_zone.py::TestFrameWriter"
+        "::test_same_revisions_of_the_next_era_are_sent",
+    ),
+    Safeguard(
+        "a store whose content is older is read with pauses",
+        f"{ROUTING}/_store_snapshots.py",
+        "            self._note_rejection(snapshot, known.snapshot)\n            return False",
+        "            self._note_rejection(snapshot, known.snapshot)\n            return True",
+        f"{ROUTING_TESTS}/test_local_state.py::TestSharedSnapshot"
+        "::test_store_that_answers_with_older_content_is_read_with_pauses",
+    ),
+    Safeguard(
+        "changes of another era are no changes",
+        f"{ADAPTER}/_ranges.py",
+        "return changes if changes.era == known.era else None",
+        "return changes",
+        f"{ADAPTER_TESTS}/test_ranges.py::TestRangeReader"
+        "::test_range_is_read_in_full_after_a_return_from_an_older_copy",
+    ),
+    Safeguard(
+        "pages of two eras are no list",
+        f"{ADAPTER}/_store.py",
+        "if answer.era != first.era:",
+        "if False:",
+        f"{ADAPTER_TESTS}/test_store.py::TestStoreClient::test_pages_of_two_eras_are_no_list",
+    ),
+    Safeguard(
+        "a configuration never goes back",
+        f"{ADAPTER}/_follow.py",
+        "order = table.version, taken.snapshot.era, item.revision",
+        "order = 0, taken.snapshot.era, item.revision",
+        f"{ADAPTER_TESTS}/test_follow.py::TestOperatorDocuments"
+        "::test_configuration_never_goes_back",
+    ),
+    Safeguard(
+        "a node registers again whose entry the store has lost",
+        f"{ADAPTER}/_entry.py",
+        "self._registration.review(taken, len(self._members))",
+        "pass",
+        f"{ADAPTER_TESTS}/test_store_eras.py"
+        "::test_nodes_whose_entries_the_store_lost_register_again",
+    ),
+    Safeguard(
+        "a seed that the store lost is registered again",
+        f"{ADAPTER}/_seeds.py",
+        "self._known = None if value is None else _decode(value)",
+        "self._known = self._known if value is None else _decode(value)",
+        f"{ADAPTER_TESTS}/test_seeds.py::TestSeedRegistry"
+        "::test_seed_that_the_store_lost_is_registered_again",
+    ),
+    Safeguard(
+        "quarantines that the store lost are written again",
+        f"{ADAPTER}/_quarantines.py",
+        "if recent.at > oldest:",
+        "if False:",
+        f"{ADAPTER_TESTS}/test_quarantines.py::test_writes_that_the_store_lost_are_repeated",
+    ),
+    Safeguard(
+        "ended endpoints that an older copy lists are left out",
+        f"{ROUTING}/_endpoints.py",
+        "return self._gone.get(endpoint.agent_id, -1) >= endpoint.born",
+        "return False",
+        f"{ROUTING_TESTS}/test_local_state.py::TestEndpoints"
+        "::test_ended_endpoint_that_an_older_copy_lists_is_not_used",
+    ),
     Safeguard(
         "an agent looks up nodes of which it received no update",
         f"{AGENT}/nodes/_attach.py",
--- a/packages/wrenloft-routing/tests/test_rest_fleet.py
+++ b/packages/wrenloft-routing/tests/test_rest_fleet.py
@@ -187,6 +187,19 @@
     assert sum(name == "e0" and at > restarted_at for name, _, at in model.arrivals) >= 3
 
 
+@pytest.mark.parametrize(
+    ("second", "end"), [(0.2, 1003.0), (3.0, 1003.5), (30.0, 1030.5)], ids=["0.2", "3", "30"]
+)
+def test_rest_ends_when_all_that_were_asked_for_have_ended(second: float, end: float) -> None:
+    """Guards against a rejection of a moment that cuts a longer rest short."""
+    endpoints = Endpoints(PLACE, REGION)
+    endpoints.update([_endpoint(0)], trusted=True)
+    (state,) = endpoints.of_service(SERVICE)
+    endpoints.record_notice(state, EndpointNotice(rest=3.0), 1000.0)
+    endpoints.record_notice(state, EndpointNotice(rest=second), 1000.5)
+    assert state.rest_until == endpoints.rests.find_end(state.endpoint.incarnation) == end
+
+
 def test_rests_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against memory that grows with every incarnation that asked for rest."""
     monkeypatch.setattr("wrenloft_routing._rests.MAX_RESTS", 3)
