Give the second caller of a test of silent crashes 0.4 s

Known red: the test failed once in seven runs beside load. Its second caller waited 0.05 s, and a stall of the event loop before the request is placed used that up; the product's decision, to refuse without sending, was right. The wait is 0.4 s, still before the first request's end at 0.5 s, and the test now checks that the first is still waiting when the crash is counted, which the name says and nothing checked.

--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -1186,8 +1186,9 @@
         waiting = asyncio.create_task(harness.send("once"))
         await asyncio.sleep(0.01)
         first, harness.sink = harness.sink, FakeSink()
-        await harness.send("once", body_digest=b"other", caller_timeout=0.05)
+        await harness.send("once", body_digest=b"other", caller_timeout=0.4)
         await asyncio.sleep(0.01)
+        assert not waiting.done()
         content = identify_content(OrganisationName("org"), "/once/x", b"")
         assert len(harness.crashes.list_crash_times(content)) == 1
         await waiting
