Let an endpoint rest that was listed again while the request was in flight

Found by reading. What callers saw: an endpoint whose entry expired and returned between a request and its rejection got requests in spite of the rest that it asked for. Cause: the rest was kept in the state that the request was sent with, and the listed one, made anew meanwhile, had been given the ledger's earlier value. Change: the listed state of the same incarnation gets it as well. The new test fails before and passes after.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -453,7 +453,10 @@
             self.record_departure(endpoint.agent_id, endpoint.born, DepartureSource.ANSWER)
         if notice.rest:
             NOTICES.labels("rest").inc()
-            state.rest_until = self.rests.extend(endpoint.incarnation, notice.rest, now)
+            rest_until = self.rests.extend(endpoint.incarnation, notice.rest, now)
+            for each in (state, self._states.get(endpoint.agent_id)):
+                if each is not None and each.endpoint.incarnation == endpoint.incarnation:
+                    each.rest_until = rest_until
             self.mark_changed()
         if notice.unreadable:
             NOTICES.labels("unreadable").inc()
--- a/packages/wrenloft-routing/tests/test_rest_fleet.py
+++ b/packages/wrenloft-routing/tests/test_rest_fleet.py
@@ -200,6 +200,19 @@
     assert state.rest_until == endpoints.rests.find_end(state.endpoint.incarnation) == end
 
 
+def test_rest_holds_for_an_endpoint_that_was_listed_again_meanwhile() -> None:
+    """Guards against a rest that is kept only in what the request was sent with."""
+    endpoints = Endpoints(PLACE, REGION)
+    endpoints.update([_endpoint(0)], trusted=True)
+    (sent_with,) = endpoints.of_service(SERVICE)
+    endpoints.update([], trusted=True)
+    endpoints.update([_endpoint(0)], trusted=True)
+    endpoints.record_notice(sent_with, EndpointNotice(rest=3.0), 1000.0)
+    (listed,) = endpoints.of_service(SERVICE)
+    assert not listed.is_open(1002.9)
+    assert listed.is_open(1003.0)
+
+
 def test_rests_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against memory that grows with every incarnation that asked for rest."""
     monkeypatch.setattr("wrenloft_routing._rests.MAX_RESTS", 3)
