--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -244,8 +244,8 @@
     Safeguard(
         "routing: a leaving endpoint stays leaving",
         f"{ROUTING}/_endpoints.py",
-        "leaving = self._left_born.get(agent_id, -1) >= endpoint.born",
-        "leaving = False",
+        "departure = self.departures.find(agent_id, endpoint.born)",
+        "departure = None",
         f"{ROUTING_TESTS}/test_local_state.py::TestEndpoints::test_leaving_outlives_a_lapsed_entry",
     ),
     Safeguard(
@@ -538,8 +538,8 @@
     Safeguard(
         "a list's revision is its first page's",
         f"{ADAPTER}/_store.py",
-        "if revision is None:",
-        "if True:",
+        'int(first.fields["storeRevision"])',
+        'int(answer.fields["storeRevision"])',
         f"{ADAPTER_TESTS}/test_ranges.py::TestRangeReader"
         "::test_changes_between_pages_are_not_missed",
     ),
@@ -578,7 +578,7 @@
     Safeguard(
         "a change of rules is not sent to agents",
         f"{ADAPTER}/_agent_documents.py",
-        "if self._reduced is None or self._reduced.value != value:",
+        "if self._reduced is None or self._services != services:",
         "if True:",
         f"{ADAPTER_TESTS}/test_agent_documents.py::TestAgentDocuments"
         "::test_change_of_rules_is_not_sent",
