Load the part of a version that the agent fetches for others

Cause: dealt the parts of a version by whether the agent fetches another one too, in the engine's plan only. The assignments, which say who fetches a chunk for others, kept the other deal. Half of the agents planned a part that agents with the other part were to fetch.

Change: the plan takes its part from the assignments. The deal follows from the list of agents alone.

Why it holds: one computation instead of two, from what all agents know.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -42,6 +42,14 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "an engine loads the part that is assigned to its agent",
+        f"{SWARM}/_reconciler.py",
+        "parts[assignments.own_part]",
+        "parts[index % len(parts)]",
+        "packages/wrenloft-swarm/tests/test_overlaps.py::TestParts"
+        "::test_agents_fetch_for_others_the_part_that_they_load_first",
+    ),
     Safeguard(
         "a chunk is checked before it is kept",
         f"{AGENT}/_store.py",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_assignments.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_assignments.py
@@ -19,7 +19,8 @@
     """Chunks assigned to each agent, computed by every agent from the same list.
 
     An agent is assigned the part of the version that its own engine loads first, so that it fetches
-    for others the chunks that it needs first itself.
+    for others the chunks that it needs first itself. Both follow from the list of agents only: what
+    one agent observes, such as the versions it fetches now, differs between agents.
 
     :param parts: number of parts that the version is split into.
     :param chunks: number of chunks of the version.
@@ -53,6 +54,11 @@
             split[self._part_by_address[address]].append(address)
         return [each or addresses for each in split]
 
+    @property
+    def own_part(self) -> int:
+        """The part that this agent's engine loads first."""
+        return self._part_by_address[self._own]
+
     def find_part(self, chunk: int) -> int:
         """Return the part that a chunk belongs to."""
         return chunk * self._parts // self._chunks
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -17,7 +17,6 @@
     LayerSpan,
     LinkTimes,
     WantedVersion,
-    assign_parts,
     choose_version,
     compute_swap_turn,
     has_time_for_both,
@@ -538,10 +537,7 @@
             await self._adopt_staged(version_chunks)
         # Decided now, since a change during the fetch cancels what is on its way.
         missing_before = self._sharing.count_missing_before(named.number)
-        plan = self._make_plan(
-            split=self._should_split(named, version_chunks, missing_before),
-            overlaps=self._sharing.overlaps(named.number),
-        )
+        plan = self._make_plan(split=self._should_split(named, version_chunks, missing_before))
         self._plan = self._plans[named.number] = plan
         for number in self._plans.keys() - {each.number for each in self._wanted}:
             del self._plans[number]
@@ -594,22 +590,18 @@
             missing / (self._context.link_rate * USABLE_LINK_SHARE),
         )
 
-    def _make_plan(self, *, split: bool, overlaps: bool) -> LoadPlan:
-        """Plan the load, of the whole version or split among the agents known now.
-
-        :param overlaps: whether another version is fetched too; each group of engines then needs
-            both parts, since the groups receive the versions in opposite order.
-        """
+    def _make_plan(self, *, split: bool) -> LoadPlan:
+        """Plan the load, of the whole version or split among the agents known now."""
         context = self._context
-        addresses = sorted([context.own.address, *(each.address for each in context.neighbours())])
-        parts = split_layers(context.layers if split and len(addresses) > 1 else 1)
+        neighbours = context.neighbours()
+        parts = split_layers(context.layers if split and neighbours else 1)
         if len(parts) == 1:
             parts = [LayerSpan(0, context.layers)]
+        assignments = Assignments(context.own, neighbours, len(parts), chunks=len(parts))
+        addresses = assignments.addresses
         index = addresses.index(context.own.address)
         turn = compute_swap_turn(index, len(addresses))
-        groups = SWAP_GROUPS if overlaps else 1
-        part = assign_parts(addresses, len(parts), groups)[context.own.address]
-        return LoadPlan(parts[part], len(parts), index % SWAP_GROUPS, turn)
+        return LoadPlan(parts[assignments.own_part], len(parts), index % SWAP_GROUPS, turn)
 
     async def _fetch(
         self, named: WantedVersion, version_chunks: VersionChunks, wanted: range, urgency: Urgency
--- a/packages/wrenloft-swarm/tests/test_overlaps.py
+++ b/packages/wrenloft-swarm/tests/test_overlaps.py
@@ -11,7 +11,9 @@
 
 import pytest
 
+from wrenloft_policy import list_span_chunks
 from wrenloft_swarm import Neighbour, SwarmTransfer, VersionChunks, VersionName
+from wrenloft_swarm._assignments import Assignments
 
 
 def _load_fleet() -> ModuleType:
@@ -44,6 +46,14 @@
     return virtual_fleet.play(virtual_fleet.Scenario(named=named, away=away, **SMALL), seconds)
 
 
+@cache
+def _play_one_after_another(seed: int) -> "virtual_fleet.Fleet":  # type: ignore[name-defined]
+    scenario = virtual_fleet.Scenario(
+        named={2: 2.0, 3: 6.0}, agents=14, origin=7.3, between=10.0, due=8.0, layers=16, seed=seed
+    )
+    return virtual_fleet.play(scenario, 20.0)
+
+
 class TestOverlaps:
     """Tests of the fetches and swaps of a whole fleet."""
 
@@ -100,6 +110,46 @@
         assert min(share for _, share in _play(case).capacity) > 0.2
 
 
+class TestParts:
+    """Tests of versions that are fetched in parts, one after the other."""
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_agents_fetch_for_others_the_part_that_they_load_first(self, seed: int) -> None:
+        """Guards against chunks of a first part whose turn falls to agents that want the other."""
+        fleet = _play_one_after_another(seed)
+        chunks, layers = fleet.scenario.chunks, fleet.scenario.layers
+        planned = 0
+        for host in fleet.hosts.values():
+            plan = host.reconciler._plans[3]
+            others = [each.neighbour for each in fleet.hosts.values() if each is not host]
+            assignments = Assignments(host.neighbour, others, plan.parts, chunks)
+            wanted = list_span_chunks(plan.first, layers, chunks)
+            turns = [
+                chunk
+                for chunk in range(chunks)
+                if assignments.find_part(chunk) == assignments.own_part
+            ]
+            planned += plan.parts > 1
+            assert list(wanted) == turns
+        assert planned > len(fleet.hosts) // 2
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_every_version_is_split_between_the_same_agents(self, seed: int) -> None:
+        """Guards against plans by what an agent observes: one part would be loaded too often."""
+        hosts = _play_one_after_another(seed).hosts
+        older, newer = (
+            {
+                address: host.reconciler._plans[number].first
+                for address, host in hosts.items()
+                if host.reconciler._plans[number].parts > 1
+            }
+            for number in (2, 3)
+        )
+        both = older.keys() & newer.keys()
+        assert both
+        assert [older[each] for each in both] == [newer[each] for each in both]
+
+
 class TestLateness:
     """Tests of the time for which the chunks of a transfer have been late."""
 
