Unload weights on which requests may no longer begin

Cause: the deadline was kept by when a request leaves the entry node and by its close. Both wait in the link behind chunks: 1.1 to 1.6 s here. Nothing at the engine knew the deadline.

Each late begin is at an engine that still had the old version while its agent's copy of the new one was incomplete; reports were 3 to 291 ms old, so the sender had nothing to go by.

The order names the number of accepted orders, so that it replaces no later one. An empty engine isn't loaded with a version past its deadline.

Why it holds: an engine accepts nothing once it has an order, whatever is on its way, and the order goes over no link. Without an agent the sender's bound counts as before.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -42,6 +42,22 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "an engine drops a version on which requests may no longer begin",
+        f"{SWARM}/_reconciler.py",
+        "group.create_task(self._run_unloading())",
+        "pass",
+        f"{ADAPTER_TESTS}/test_late_requests.py"
+        "::test_request_held_in_a_link_does_not_begin_on_a_version_past_its_deadline",
+    ),
+    Safeguard(
+        "a version past its deadline is not loaded",
+        f"{SWARM}/_reconciler.py",
+        "if state.serves(wanted.number, everything) or self._is_superseded(wanted.number):",
+        "if state.serves(wanted.number, everything):",
+        f"{SWARM_TESTS}::TestReconciler"
+        "::test_empty_engine_is_not_loaded_with_a_version_past_its_deadline",
+    ),
     Safeguard(
         "an engine loads the part that is assigned to its agent",
         f"{SWARM}/_reconciler.py",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -72,6 +72,15 @@
     async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
         """Order the engine to load layers from the staged chunks."""
 
+    async def unload(self, name: VersionName, sequence: int) -> OrderResult:
+        """Order the engine to drop all layers of the version that it has loaded.
+
+        It accepts no new requests from the order on, and completes those that it has accepted.
+
+        :param sequence: the number of accepted orders that its last report states. With any other
+            the order is rejected as ``BUSY``, since the engine has got another one meanwhile.
+        """
+
 
 class WeightsOrigin(Protocol):
     """The origin of weights. Every method raises ``PlatformUnavailableError``."""
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -9,6 +9,7 @@
 from typing import Any, TypeVar
 
 from aiohttp import ClientSession
+from prometheus_client import Counter
 
 from wrenloft_core import ModelName, PlatformUnavailableError, note, read_clock, warn
 from wrenloft_policy import (
@@ -86,6 +87,13 @@
 RECOVERY_RETRY_SECONDS = 1.0
 """Interval of attempts to recover staged chunks: the origin starts within seconds of the agents."""
 
+UNLOAD_POLL_SECONDS = 0.05
+"""Interval of checks whether the engine serves a version on which requests may no longer begin."""
+
+UNLOADS = Counter(
+    "wrenloft_agent_unloads", "Orders to drop a version past its deadline", ["result"]
+)
+
 _RETRY_SECONDS = 0.2
 _MAX_STAGE_CALLS = 4
 """Staged chunks written or read at once; they don't use the host's link."""
@@ -168,6 +176,9 @@
         self._model = model
         self._context = context
         self._wanted = [WantedVersion(1, read_clock())]
+        self._unnamed_at: dict[int, float] = {}
+        self._unload_answered_at: tuple[int, int] | None = None
+        self._unloaded_sequence: int | None = None
         self._target_changed = asyncio.Event()
         self._staging = asyncio.Lock()
         self._ready_at: dict[int, float] = {}
@@ -187,12 +198,29 @@
     def _newest(self) -> WantedVersion:
         return self._wanted[-1]
 
-    def set_target_version(self, number: int) -> None:
-        """Set the version to load, unless a newer one is already set."""
+    def set_target_version(self, number: int, unnamed_at: float | None = None) -> None:
+        """Set the version to load, unless a newer one is already set.
+
+        :param unnamed_at: a time at which the version was not yet named, if known; requests begin
+            on an older version until ``version_seconds`` after it. By default, the present time.
+        """
+        now = read_clock()
+        unnamed_at = now if unnamed_at is None else unnamed_at
         if number > self._newest.number:
-            self._wanted = [*self._wanted[1 - KEPT_VERSIONS :], WantedVersion(number, read_clock())]
-            note(_LOG, "target version set", model=self._model, version=number)
+            self._wanted = [*self._wanted[1 - KEPT_VERSIONS :], WantedVersion(number, now)]
+            self._unnamed_at[number] = unnamed_at
+            required = max(filter(self._is_required, self._unnamed_at), default=0)
+            self._unnamed_at = {n: at for n, at in self._unnamed_at.items() if n >= required}
+            note(
+                _LOG,
+                "target version set",
+                model=self._model,
+                version=number,
+                unnamed_ms=round((now - unnamed_at) * 1000),
+            )
             self._target_changed.set()
+        elif number in self._unnamed_at:
+            self._unnamed_at[number] = min(self._unnamed_at[number], unnamed_at)
 
     async def poll_engine(self) -> None:
         """Read the engine's report periodically until cancelled."""
@@ -212,14 +240,15 @@
     async def run(self) -> None:
         """Fetch and load versions until cancelled.
 
-        Fetching and loading are separate tasks: a swap lasts until the engine's streams have ended,
-        and the next version is fetched meanwhile.
+        Fetching, loading and unloading are separate tasks: a swap lasts until the engine's streams
+        have ended, and the next version is fetched meanwhile.
         """
         async with asyncio.TaskGroup() as group:
             recovering = group.create_task(self._run_recovery())
             await asyncio.wait([recovering], timeout=RECOVERY_WAIT_SECONDS)
             group.create_task(self._run_fetching())
             group.create_task(self._run_loading())
+            group.create_task(self._run_unloading())
 
     async def _run_fetching(self) -> None:
         """Fetch all wanted versions at the same time, in the order that ``SharedFetches`` gives."""
@@ -306,6 +335,57 @@
                 note(_LOG, "version not loaded", reason=str(error))
             await asyncio.sleep(POLL_SECONDS)
 
+    async def _run_unloading(self) -> None:
+        """Unload each version on which requests may no longer begin.
+
+        Entry nodes stop sending such requests in time, but a narrowed link delivers them, and the
+        close of their connections, seconds later. An engine accepts none once it has the order.
+        """
+        while True:
+            state = self._context.latest.state
+            if state is not None and self._must_unload(state):
+                await self._unload(state)
+            await asyncio.sleep(UNLOAD_POLL_SECONDS)
+
+    def _must_unload(self, state: EngineState) -> bool:
+        return (
+            state.span is not None
+            and not state.loading
+            and (state.version, state.sequence) != self._unload_answered_at
+            and self._is_superseded(state.version)
+        )
+
+    def _is_superseded(self, number: int) -> bool:
+        """Return whether requests may begin on a newer version than this only."""
+        return any(newer > number and self._is_required(newer) for newer in self._unnamed_at)
+
+    def _is_required(self, number: int) -> bool:
+        wanted = WantedVersion(number, self._unnamed_at[number])
+        return is_version_required(wanted, self._context.version_seconds, read_clock())
+
+    async def _unload(self, state: EngineState) -> None:
+        try:
+            result = await self._context.engine.unload(
+                VersionName(self._model, state.version), state.sequence
+            )
+        except PlatformUnavailableError as error:
+            UNLOADS.labels("failed").inc()
+            note(_LOG, "version not unloaded", version=state.version, reason=str(error))
+            return
+        UNLOADS.labels(result.value).inc()
+        note(
+            _LOG,
+            "engine ordered to unload",
+            version=state.version,
+            running=state.running,
+            waiting=state.waiting,
+            result=result.value,
+        )
+        if result is OrderResult.ACCEPTED:
+            self._unloaded_sequence = state.sequence + 1
+        if result is not OrderResult.BUSY:
+            self._unload_answered_at = state.version, state.sequence
+
     def _choose_load(self, state: EngineState) -> LoadStep | None:
         """Return what the engine should be ordered to load now, if anything.
 
@@ -317,7 +397,7 @@
             return None
         everything = LayerSpan(0, self._context.layers)
         for wanted in reversed(self._wanted):
-            if state.serves(wanted.number, everything):
+            if state.serves(wanted.number, everything) or self._is_superseded(wanted.number):
                 return None
             version_chunks = self._context.chunk_store.get(VersionName(self._model, wanted.number))
             if version_chunks is None:
@@ -567,8 +647,9 @@
     ) -> bool:
         """Return whether ``wanted``, older than ``name``, is stored and not yet loaded."""
         version_chunks = self._context.chunk_store.get(VersionName(self._model, wanted.number))
-        older = state.version < wanted.number < name.number
-        return older and version_chunks is not None and not version_chunks.list_missing()
+        if not state.version < wanted.number < name.number or self._is_superseded(wanted.number):
+            return False
+        return version_chunks is not None and not version_chunks.list_missing()
 
     def _should_split(
         self, named: WantedVersion, version_chunks: VersionChunks, missing_before: int = 0
@@ -580,7 +661,7 @@
         if self._context.is_cold():
             return True
         state = self._context.latest.state
-        if state is None or state.span is None:
+        if state is None or (state.span is None and state.sequence != self._unloaded_sequence):
             return False  # other engines serve, and take more requests without chains with this one
         missing = (len(version_chunks.list_missing()) + missing_before) * self._context.chunk_bytes
         return should_fetch_parts(
--- a/packages/wrenloft-swarm/tests/test_overlaps.py
+++ b/packages/wrenloft-swarm/tests/test_overlaps.py
@@ -110,6 +110,26 @@
         assert min(share for _, share in _play(case).capacity) > 0.2
 
 
+class TestUnloading:
+    """Tests of versions on which requests may no longer begin."""
+
+    def test_no_engine_keeps_a_version_past_its_deadline(self) -> None:
+        """Guards against engines that begin requests which a link delivers after the deadline."""
+        scenario = virtual_fleet.Scenario(named={2: 2.0}, away=(0.0, 20.0), due=8.0, **SMALL)
+        fleet = virtual_fleet.play(scenario, 35.0)
+        for host in fleet.hosts.values():
+            assert host.unloaded[1] < 2.0 + scenario.due
+            assert host.version == 2
+
+    def test_engines_with_the_version_in_time_are_not_unloaded(self) -> None:
+        """Guards against an engine that is emptied though it has the permitted version."""
+        fleet = _play("calm")
+        due = 2.0 + fleet.scenario.due
+        in_time = [host for host in fleet.hosts.values() if host.served.get(2, due) < due - 1.0]
+        assert in_time
+        assert not any(host.unloaded for host in in_time)
+
+
 class TestParts:
     """Tests of versions that are fetched in parts, one after the other."""
 
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -11,7 +11,13 @@
 import pytest
 from aiohttp import ClientSession, web
 
-from wrenloft_core import IntegrityError, ModelName, Pacer, PlatformUnavailableError
+from wrenloft_core import (
+    IntegrityError,
+    ModelName,
+    Pacer,
+    PlatformUnavailableError,
+    read_clock,
+)
 from wrenloft_policy import ALL_LAYERS, LayerSpan, list_span_chunks
 from wrenloft_swarm import (
     ChunkStore,
@@ -78,6 +84,8 @@
 
     :param corrupt_on_stage: chunks that become corrupt when they are staged for the first time.
     :param draining: an order takes effect once this event is set.
+    :param keeps_weights: whether it refuses orders to unload.
+    :param lost_unloads: orders to unload still to be left without a response.
     """
 
     staged: dict[int, bytes] = field(default_factory=dict)
@@ -88,6 +96,9 @@
     spans: list[LayerSpan] = field(default_factory=list)
     span: LayerSpan | None = ALL_LAYERS
     draining: asyncio.Event | None = None
+    unloaded: list[tuple[int, int]] = field(default_factory=list)
+    keeps_weights: bool = False
+    lost_unloads: int = 0
 
     async def report(self) -> EngineState:
         span = self.span if self.version else None
@@ -105,6 +116,16 @@
             data = b"rotten"
         self.staged[chunk] = data
 
+    async def unload(self, name: VersionName, sequence: int) -> OrderResult:
+        self.unloaded.append((name.number, sequence))
+        if self.lost_unloads > 0:
+            self.lost_unloads -= 1
+            raise PlatformUnavailableError("no response", step="order")
+        if self.keeps_weights:
+            return OrderResult.REFUSED
+        self.version = 0
+        return OrderResult.ACCEPTED
+
     async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
         if self.busy > 0:
             self.busy -= 1
@@ -286,6 +307,7 @@
         neighbours: Sequence[Neighbour] = (),
         *,
         cold: bool = False,
+        version_seconds: float = 8.0,
     ) -> None:
         self.cold = cold
         self.engine = engine
@@ -304,6 +326,7 @@
             random=Random(1),
             layers=LAYERS,
             is_cold=lambda: self.cold,
+            version_seconds=version_seconds,
         )
         self.reconciler = Reconciler(MODEL, context)
         for work in (self.reconciler.poll_engine(), self.reconciler.run()):
@@ -540,6 +563,67 @@
             EngineState(0, 0, 1, False, 1.0, 0, LayerSpan(0, LAYERS))
         )
 
+    async def test_version_past_its_deadline_is_unloaded_though_nothing_replaces_it(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against old weights that stay in service for requests that arrive too late."""
+        harness = Harness(stack, session, FakeEngine(version=1), version_seconds=1.0)
+        harness.origin.is_unavailable = True
+        harness.reconciler.set_target_version(2)
+        await harness.wait_for(0)
+        assert harness.engine.unloaded == [(1, 0)]
+        harness.origin.is_unavailable = False
+        await harness.wait_for(2)
+        assert harness.engine.loaded == [(2, True)]
+
+    async def test_order_to_unload_is_repeated_after_a_lost_response(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against weights that stay in service because one call failed."""
+        engine = FakeEngine(version=1, lost_unloads=2)
+        harness = Harness(stack, session, engine, version_seconds=1.0)
+        harness.origin.is_unavailable = True
+        harness.reconciler.set_target_version(2)
+        await harness.wait_for(0)
+        assert len(engine.unloaded) == 3
+
+    async def test_engine_that_cannot_unload_is_asked_once(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against an order every 50 ms to an engine that knows none to unload."""
+        engine = FakeEngine(version=1, keeps_weights=True)
+        harness = Harness(stack, session, engine, version_seconds=0.6)
+        harness.origin.is_unavailable = True
+        harness.reconciler.set_target_version(2)
+        await asyncio.sleep(1.5)
+        assert engine.unloaded == [(1, 0)]
+
+    async def test_version_counts_from_when_it_was_not_yet_named(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against an agent that heard of a version late and keeps the old one for longer."""
+        harness = Harness(stack, session, FakeEngine(version=1))
+        harness.origin.is_unavailable = True
+        harness.reconciler.set_target_version(2)
+        await asyncio.sleep(0.5)
+        assert not harness.engine.unloaded
+        harness.reconciler.set_target_version(2, read_clock() - 8.0)
+        await harness.wait_for(0)
+
+    async def test_empty_engine_is_not_loaded_with_a_version_past_its_deadline(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against a load that keeps the engine busy when the permitted version arrives."""
+        harness = Harness(stack, session, FakeEngine(), version_seconds=0.6)
+        name = VersionName(MODEL, 1)
+        _fill(harness.reconciler._context.chunk_store.open(name, _digests(1)), range(COUNT))
+        harness.origin.is_unavailable = True
+        harness.reconciler.set_target_version(2, read_clock() - 1.0)
+        await asyncio.sleep(1.0)
+        harness.origin.is_unavailable = False
+        await harness.wait_for(2)
+        assert harness.engine.loaded == [(2, True)]
+
     async def test_empty_engine_gets_the_first_version(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
--- a/packages/wrenloft-swarm/tests/virtual_fleet.py
+++ b/packages/wrenloft-swarm/tests/virtual_fleet.py
@@ -116,13 +116,15 @@
     staged: dict[int, bytes] = field(default_factory=dict)
     version: int = 1
     loading: bool = False
+    sequence: int = 0
     span: LayerSpan | None = None
     served: dict[int, float] = field(default_factory=dict)
+    unloaded: dict[int, float] = field(default_factory=dict)
     reconciler: Reconciler = field(init=False)
 
     async def report(self) -> EngineState:
-        span = None if self.loading else self.span or self.fleet.whole
-        return EngineState(0, 0, self.version, self.loading, 1.0, 0, span)
+        span = None if self.loading or not self.version else self.span or self.fleet.whole
+        return EngineState(0, 0, self.version, self.loading, 1.0, self.sequence, span)
 
     async def list_staged(self, _: VersionName) -> set[int]:
         return set(self.staged)
@@ -135,9 +137,18 @@
 
     async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
         self.loading = True
+        self.sequence += 1
         asyncio.get_running_loop().call_later(LOAD_SECONDS, self._finish, name.number, span)
         return OrderResult.ACCEPTED
 
+    async def unload(self, name: VersionName, sequence: int) -> OrderResult:
+        if sequence != self.sequence:
+            return OrderResult.BUSY
+        self.sequence += 1
+        self.unloaded[name.number] = self.fleet.elapsed
+        self.version = 0
+        return OrderResult.ACCEPTED
+
     def _finish(self, number: int, span: LayerSpan) -> None:
         self.version, self.span, self.loading = number, span, False
         if span == self.fleet.whole:
