--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -145,13 +145,16 @@
     update_limit,
 )
 from wrenloft_policy._relays import (
+    DIRECT_READ_INTERVALS,
     DIRECT_READ_SECONDS,
+    DIRECT_READ_SPREAD_SECONDS,
     MIN_FRAME_SECONDS,
     STALE_INTERVALS,
     RelayCandidate,
     assign_places,
     compute_frame_interval,
     compute_max_snapshot_age,
+    pick_direct_read_wait,
     rank_relays,
 )
 from wrenloft_policy._rests import pick_rest_retry_after
@@ -201,7 +204,9 @@
     "BOUND_WINDOW_SECONDS",
     "CRASHES_TO_QUARANTINE",
     "CRASH_TTL_SECONDS",
+    "DIRECT_READ_INTERVALS",
     "DIRECT_READ_SECONDS",
+    "DIRECT_READ_SPREAD_SECONDS",
     "IDLE_TIMEOUT_SECONDS",
     "LAST_HOP_SECONDS",
     "MAX_OBJECTIVE_SHARE",
@@ -353,6 +358,7 @@
     "merge_limit",
     "order_versions",
     "pick_backoff",
+    "pick_direct_read_wait",
     "pick_grant_retry_delay",
     "pick_limited_retry_after",
     "pick_limiter",
--- a/packages/wrenloft-policy/src/wrenloft_policy/_relays.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_relays.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from math import inf
+from random import Random
 
 from blake3 import blake3
 
@@ -16,9 +17,23 @@
 """Intervals by which each further zone waits longer, so that they don't all read at once, and the
 maximum for all: with two relays partitioned, the third still has time to read and to publish."""
 
+DIRECT_READ_INTERVALS = 2.2
+"""Age of a store snapshot, in intervals, at which a node that is not its zone's relay reads the
+store itself. By then the last of the relays has read it and published it; a configuration must take
+effect within 2.5."""
+
+DIRECT_READ_SPREAD_SECONDS = 0.16
+"""Time over which the nodes of a zone spread their first such reads."""
+
+MAX_FIRST_DIRECT_READS = 16
+"""Most such reads of a zone. In a larger one, the relay gets the snapshot of one of these nodes."""
+
+DIRECT_READS_PER_SECOND = 3.0
+"""Reads a second of a zone's nodes after that, while they succeed: only the relays are cut off."""
+
 DIRECT_READ_SECONDS = 1.0
 """Mean time between two reads of the store by a node that is not its zone's relay, for each node of
-the zone, while no relay has a fresh snapshot: one call a second and zone in total."""
+the zone, while its reads fail: one call a second and zone in total."""
 
 FRAMES_PER_SECOND = 160.0
 """Maximum rate at which one relay sends frames, to all nodes of its zone together. Each node
@@ -105,3 +120,25 @@
     if place_rank == 0:
         return interval
     return interval * min(MAX_STALE_INTERVALS, STALE_INTERVALS + TAKEOVER_STEP * (place_rank - 1))
+
+
+def pick_direct_read_wait(
+    rank: int, nodes: int, *, reads: int, failures: int, max_age: float, random: Random
+) -> float:
+    """Return the seconds for which a node that relays for no zone waits before it reads the store.
+
+    The nodes of a zone read at once when no relay has a fresh snapshot: all relays may be cut off
+    from the store, and a change must still be in force in time. Further reads are rationed by zone,
+    more so while the store fails for this node too.
+
+    :param rank: its rank among the nodes of its zone.
+    :param nodes: number of nodes of its zone.
+    :param reads: reads in a row without a fresh snapshot from a relay.
+    :param failures: how many of the last reads failed.
+    :param max_age: age of the snapshot, in seconds, at which it begins to wait.
+    """
+    if not reads and rank < MAX_FIRST_DIRECT_READS:
+        return DIRECT_READ_SPREAD_SECONDS * rank / min(nodes, MAX_FIRST_DIRECT_READS)
+    if failures:
+        return random.uniform(0.0, 2.0 * DIRECT_READ_SECONDS * nodes)
+    return random.uniform(0.0, 2.0 * max(0.0, nodes / DIRECT_READS_PER_SECOND - max_age))
--- a/packages/wrenloft-policy/tests/test_relays.py
+++ b/packages/wrenloft-policy/tests/test_relays.py
@@ -1,16 +1,21 @@
 """Tests of the choice of relays and of the nodes that read the store."""
 
 from math import inf
+from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wrenloft_policy import (
+    DIRECT_READ_INTERVALS,
+    DIRECT_READ_SPREAD_SECONDS,
     RelayCandidate,
     assign_places,
     compute_frame_interval,
     compute_max_snapshot_age,
     count_unreachable,
+    pick_direct_read_wait,
     rank_relays,
 )
 
@@ -86,6 +91,44 @@
         assert compute_max_snapshot_age(0.8, None) == inf
 
 
+class TestDirectReads:
+    """Tests of the reads of nodes that relay for no zone."""
+
+    @pytest.mark.parametrize("nodes", [3, 6, 16])
+    def test_every_node_reads_in_time_if_all_relays_are_cut_off(self, nodes: int) -> None:
+        """Guards against a change of the configuration that is not in force within its bound."""
+        interval, bound, read = 0.8, 2.0, 0.05
+        age = DIRECT_READ_INTERVALS * interval
+        for rank in range(nodes):
+            wait = pick_direct_read_wait(
+                rank, nodes, reads=0, failures=0, max_age=age, random=Random(rank)
+            )
+            assert compute_max_snapshot_age(interval, 2) < age
+            assert age + wait + read <= bound
+
+    @pytest.mark.parametrize("nodes", [3, 20, 72])
+    def test_reads_of_a_zone_are_bounded(self, nodes: int) -> None:
+        """Guards against the calls of every node while the store is down, or for long."""
+        random, age = Random(1), DIRECT_READ_INTERVALS * 0.8
+
+        def measure_rate(failures: int, pause: float) -> float:
+            waits = [
+                pick_direct_read_wait(
+                    1, nodes, reads=1, failures=failures, max_age=age, random=random
+                )
+                for _ in range(2000)
+            ]
+            return nodes / (pause + sum(waits) / len(waits))
+
+        first = [
+            pick_direct_read_wait(rank, nodes, reads=0, failures=0, max_age=age, random=random)
+            for rank in range(nodes)
+        ]
+        assert sum(each <= DIRECT_READ_SPREAD_SECONDS for each in first) <= 20
+        assert measure_rate(1, 0.0) < 1.1
+        assert measure_rate(0, age) < 3.3
+
+
 class TestCountUnreachable:
     """Tests for ``count_unreachable``."""
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
@@ -11,7 +11,11 @@
 from blake3 import blake3
 
 from wrenloft_core import PlatformUnavailableError, Signal, note, read_clock
-from wrenloft_policy import DIRECT_READ_SECONDS, STALE_INTERVALS, compute_max_snapshot_age
+from wrenloft_policy import (
+    DIRECT_READ_INTERVALS,
+    compute_max_snapshot_age,
+    pick_direct_read_wait,
+)
 from wrenloft_routing._frames import StoreDelta
 from wrenloft_routing._members import Member, Members
 from wrenloft_routing._packing import Item, pack_items, unpack_items
@@ -140,6 +144,7 @@
         self._random = random
         self._outage_ended_at = float("-inf")
         self._failures = 0
+        self._direct_reads = 0
         self._refresh_requested = False
         self._refresh_signal = Signal()
         self._changes = changes
@@ -184,7 +189,7 @@
         if role is ZoneRole.RELAYING:
             return compute_max_snapshot_age(self._interval, self._rank_place())
         if role is ZoneRole.SUBSCRIBED:
-            return 2.0 * STALE_INTERVALS * self._interval
+            return DIRECT_READ_INTERVALS * self._interval
         return float("inf")
 
     def _rank_place(self) -> int:
@@ -196,19 +201,31 @@
     async def _wait_turn(self) -> bool:
         """Wait for this node's turn to read; return whether a read is still needed.
 
-        Relays wait by age alone. Of the other nodes of a zone about one per second reads: the store
-        may refuse their relay and serve them, and while it is down for all, calls from every node
-        would be useless load.
+        Relays wait by age alone. The store may refuse them and serve the other nodes of their
+        zones, whose reads are spread and rationed.
         """
         if self._role() is not ZoneRole.SUBSCRIBED:
             return True
         if len(self._members) > 1:
-            nodes = self._members.count_near()
-            wait = self._random.uniform(0.0, 2.0 * DIRECT_READ_SECONDS * nodes)
+            wait = self._pick_direct_read_wait()
         else:
             wait = self._random.uniform(*FIRST_READ_WAIT_SECONDS)
         await asyncio.sleep(wait)
-        return self.age >= self._measure_read_delay()
+        if self.age < self._measure_read_delay():
+            return False
+        self._direct_reads += 1
+        return True
+
+    def _pick_direct_read_wait(self) -> float:
+        own = self._members.own
+        return pick_direct_read_wait(
+            self._members.rank_members(own.place).index(own),
+            self._members.count_near(),
+            reads=self._direct_reads,
+            failures=self._failures,
+            max_age=self._measure_read_delay(),
+            random=self._random,
+        )
 
     def _pick_pause(self) -> float:
         longest = MAX_RETRY_DELAY_SECONDS * (1.0 + 0.5 * self._rank_place())
@@ -224,7 +241,7 @@
         except PlatformUnavailableError:
             return False  # logged by the client
         self._refresh_requested = False
-        if not self.accept(ReceivedSnapshot(snapshot, begun, trusted=True)):
+        if not self._apply(ReceivedSnapshot(snapshot, begun, trusted=True)):
             return False
         self._failures = 0
         return True
@@ -257,10 +274,19 @@
                 reason=repr(error),
             )
             return
-        self.accept(received)
+        self._apply(received)
 
     def accept(self, received: ReceivedSnapshot) -> bool:
-        """Accept a snapshot unless a newer one is known; return whether its content isn't older."""
+        """Accept a relay's snapshot unless a newer one is known.
+
+        :returns: whether its content isn't older.
+        """
+        is_fresh = read_clock() - received.begun_at < self._measure_read_delay()
+        if is_fresh and self._role() is ZoneRole.SUBSCRIBED:
+            self._direct_reads = self._failures = 0
+        return self._apply(received)
+
+    def _apply(self, received: ReceivedSnapshot) -> bool:
         known, snapshot = self.latest, received.snapshot
         if known is not None and snapshot.position < known.snapshot.position:
             self._note_rejection(snapshot, known.snapshot)
--- a/packages/wrenloft-routing/tests/test_local_state.py
+++ b/packages/wrenloft-routing/tests/test_local_state.py
@@ -437,6 +437,28 @@
             task.cancel()
         assert received[0].snapshot.revision == 1
 
+    async def test_subscriber_reads_the_store_once_its_relays_have_no_fresh_snapshot(self) -> None:
+        """Guards against a node that waits for relays which are all cut off from the store."""
+        reads = asyncio.Event()
+
+        async def fetch() -> StoreSnapshot:
+            reads.set()
+            return StoreSnapshot((), 6)
+
+        received: list[ReceivedSnapshot] = []
+        members = Members(_member("b"))
+        members.update([_member("a"), _member("c")])
+        async with ClientSession() as session:
+            shared, _ = _shared(fetch, received, session, ZoneRole.SUBSCRIBED, members)
+            shared.accept(ReceivedSnapshot(StoreSnapshot((), 5), read_clock(), True))
+            task = asyncio.create_task(shared.run())
+            async with asyncio.timeout(5):
+                await reads.wait()
+            task.cancel()
+        assert shared._direct_reads == 1
+        shared.accept(ReceivedSnapshot(StoreSnapshot((), 7), read_clock(), True))
+        assert shared._direct_reads == 0
+
     async def test_missing_entries_are_trusted_only_a_while_after_an_outage(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
@@ -583,11 +605,12 @@
             calls += 1
             raise PlatformUnavailableError("away", step="list")
 
-        members = Members(_member("a"))
-        members.update([_member(f"n{number}") for number in range(39)])
+        nodes = [_member(f"n{number}") for number in range(40)]
         async with ClientSession() as session:
             tasks = []
-            for number in range(40):
+            for number, own in enumerate(nodes):
+                members = Members(own)
+                members.update([each for each in nodes if each is not own])
                 shared, _ = _shared(fetch, [], session, ZoneRole.SUBSCRIBED, members)
                 shared._random = Random(number)
                 tasks.append(asyncio.create_task(shared.run()))
