Go on to other endpoints after four refused connections

Cause: the number of failed connections was bounded, for the sake of the time that four take to time out. Refused ones take milliseconds.

Change: the time spent on failed connections is bounded, by what four that time out take.

Result: the new test, six refused connections before an endpoint that serves, fails before and passes after; one holds that time-outs stay bounded.

Why it holds: an endpoint that failed is tried once by a request and left out by the node for a while, so that refused connections stay bounded by the number of endpoints.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -42,6 +42,22 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "endpoints that refuse connections do not end a request",
+        f"{ROUTING}/_forward.py",
+        "if progress.connect_seconds > _MAX_CONNECT_SECONDS:",
+        "if progress.not_sent >= 4:",
+        f"{ROUTING_TESTS}/test_forward.py::TestFailedConnections"
+        "::test_endpoint_is_found_behind_many_that_refuse_connections",
+    ),
+    Safeguard(
+        "nodes read the store once no relay has a fresh snapshot",
+        "packages/wrenloft-policy/src/wrenloft_policy/_relays.py",
+        "if not reads and rank < MAX_FIRST_DIRECT_READS:",
+        "if False:",
+        "packages/wrenloft-policy/tests/test_relays.py::TestDirectReads"
+        "::test_every_node_reads_in_time_if_all_relays_are_cut_off",
+    ),
     Safeguard(
         "an engine drops a version on which requests may no longer begin",
         f"{SWARM}/_reconciler.py",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -57,9 +57,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-_MAX_CONNECT_ATTEMPTS = 4
-"""Endpoints that may fail to connect before a request is given up. A connect attempt times out
-after 0.25 s, so this bounds the time spent connecting to one second."""
+_MAX_CONNECT_SECONDS = 0.9
+"""Time spent on connections that failed after which a request is given up. A connection that is
+refused takes milliseconds, one that times out 0.25 s, so that four of these take up to a second."""
 
 _SILENCE_OBJECTIVES = 4.0
 """Latency objectives after which an idempotent request without an answer is retried elsewhere, if
@@ -309,6 +309,7 @@
         self._record_losses(progress, placed, result, at_fault)
         progress.tried.update(each.endpoint.agent_id for each in at_fault)
         if isinstance(result, NotSent):
+            progress.connect_seconds += read_clock() - started
             return self._after_not_sent(progress, state, result)
         progress.attempts += 1
         if isinstance(result, Rejected):
@@ -400,7 +401,7 @@
         self._endpoints.record_failure(state, read_clock())
         self._detector.record_unreachable(state)
         progress.not_sent += 1
-        if progress.not_sent >= _MAX_CONNECT_ATTEMPTS:
+        if progress.connect_seconds > _MAX_CONNECT_SECONDS:
             return give_up(progress, "connect", Refused(result.reason, 1), self._random)
         return None
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -16,6 +16,7 @@
     """The state of one request.
 
     :param regions: in which it may be served, ``None`` for all.
+    :param connect_seconds: time spent on connections that failed.
     :param answer_begun: whether part of an answer that is no stream was sent to the caller, so that
         no other endpoint can give the answer.
     """
@@ -31,6 +32,7 @@
     tried: set[AgentId] = field(default_factory=set)
     attempts: int = 0
     not_sent: int = 0
+    connect_seconds: float = 0.0
     may_have_run: bool = False
     is_probe: bool = False
     limit_known: bool = False
