Tests of unloading beside other orders and a further version

A version that is named in between, an order that another one came before, a lost answer, and an engine that knows no spans: each leaves the deadline of the first version in force and replaces no later order.

--- a/packages/wrenloft-swarm/tests/test_overlaps.py
+++ b/packages/wrenloft-swarm/tests/test_overlaps.py
@@ -113,13 +113,14 @@
 class TestUnloading:
     """Tests of versions on which requests may no longer begin."""
 
-    def test_no_engine_keeps_a_version_past_its_deadline(self) -> None:
+    @pytest.mark.parametrize("named", [{2: 2.0}, {2: 2.0, 3: 4.0}], ids=["one", "another between"])
+    def test_no_engine_keeps_a_version_past_its_deadline(self, named: dict[int, float]) -> None:
         """Guards against engines that begin requests which a link delivers after the deadline."""
-        scenario = virtual_fleet.Scenario(named={2: 2.0}, away=(0.0, 20.0), due=8.0, **SMALL)
+        scenario = virtual_fleet.Scenario(named=named, away=(0.0, 20.0), due=8.0, **SMALL)
         fleet = virtual_fleet.play(scenario, 35.0)
         for host in fleet.hosts.values():
             assert host.unloaded[1] < 2.0 + scenario.due
-            assert host.version == 2
+            assert host.version == max(named)
 
     def test_engines_with_the_version_in_time_are_not_unloaded(self) -> None:
         """Guards against an engine that is emptied though it has the permitted version."""
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -121,6 +121,9 @@
         if self.lost_unloads > 0:
             self.lost_unloads -= 1
             raise PlatformUnavailableError("no response", step="order")
+        if self.busy > 0:
+            self.busy -= 1
+            return OrderResult.BUSY
         if self.keeps_weights:
             return OrderResult.REFUSED
         self.version = 0
@@ -587,6 +590,17 @@
         await harness.wait_for(0)
         assert len(engine.unloaded) == 3
 
+    async def test_order_to_unload_is_repeated_after_another_order_came_first(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against weights that stay in service because a report was older than an order."""
+        engine = FakeEngine(version=1, busy=3)
+        harness = Harness(stack, session, engine, version_seconds=1.0)
+        harness.origin.is_unavailable = True
+        harness.reconciler.set_target_version(2)
+        await harness.wait_for(0)
+        assert len(engine.unloaded) == 4
+
     async def test_engine_that_cannot_unload_is_asked_once(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -11,7 +11,11 @@
 import tomli_w
 from aiohttp import ClientSession, web
 
-from .conftest import StandinStore
+from wrenloft_core import ModelName
+from wrenloft_platform._engine import RunnerEngine
+from wrenloft_swarm import OrderResult, VersionName
+
+from .conftest import StandinEndpoint, StandinStore, full_response
 from .held_link import HeldLink
 from .test_programs import CONFIGURATION, Entry, start_program, write_settings
 
@@ -195,3 +199,24 @@
         await engine.arrived.wait()
     assert not engine.begun, json.dumps([status, body.decode()])
     assert engine.rejected
+
+
+async def test_order_to_unload_names_the_orders_that_the_engine_had_accepted(
+    session: ClientSession, endpoint: StandinEndpoint
+) -> None:
+    """Guards against an order that takes away the version which a later one has loaded."""
+    endpoint.answers = [full_response(b"", status="409 Conflict")]
+    engine = RunnerEngine(session, endpoint.address)
+    engine.layers = LAYERS
+    assert await engine.unload(VersionName(ModelName(MODEL), 1), 3) is OrderResult.BUSY
+    order = json.loads(endpoint.received[0].body)
+    assert (order["version"], order["from"], order["target"], order["expected"]) == (1, 0, 0, 3)
+
+
+async def test_engine_that_knows_no_spans_gets_no_order_to_unload(
+    session: ClientSession, endpoint: StandinEndpoint
+) -> None:
+    """Guards against an engine that loads all that is staged, of whatever version."""
+    engine = RunnerEngine(session, endpoint.address)
+    assert await engine.unload(VersionName(ModelName(MODEL), 1), 3) is OrderResult.REFUSED
+    assert not endpoint.received
