Count a version's deadline from the latest reading without it

With relays the time is the same as before.

Why it holds: each such read shows the store's content at its begin or later. A watch is answered at once if the version had been named before; stale reads don't count.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -204,9 +204,9 @@
         :param unnamed_at: a time at which the version was not yet named, if known; requests begin
             on an older version until ``version_seconds`` after it. By default, the present time.
         """
-        now = read_clock()
-        unnamed_at = now if unnamed_at is None else unnamed_at
         if number > self._newest.number:
+            now = read_clock()
+            unnamed_at = now if unnamed_at is None else unnamed_at
             self._wanted = [*self._wanted[1 - KEPT_VERSIONS :], WantedVersion(number, now)]
             self._unnamed_at[number] = unnamed_at
             required = max(filter(self._is_required, self._unnamed_at), default=0)
@@ -219,8 +219,6 @@
                 unnamed_ms=round((now - unnamed_at) * 1000),
             )
             self._target_changed.set()
-        elif number in self._unnamed_at:
-            self._unnamed_at[number] = min(self._unnamed_at[number], unnamed_at)
 
     async def poll_engine(self) -> None:
         """Read the engine's report periodically until cancelled."""
