Tell subscribers when the content before a change was last read

Its relay sends one every 0.55 s and reads every 0.8 s: 0.9 s before the naming, where entry nodes had 0.3 s.

Evidence: "unnamed_ms" 930 in the agents' logs, orders to unload at 24.6 s where entry nodes sent until 25.2 s.

Why it holds: a read shows the content of its begin or later, so that nothing of the change was there then. A subscriber that skipped a content gets none.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -42,6 +42,8 @@
     :param begun_at: when the read of the store began, on the sender's clock.
     :param trusted: whether missing entries were removed, rather than only expired.
     :param era: of the store, which orders snapshots before their revisions do.
+    :param unchanged_at: when the last read began that showed the content of the last snapshot sent,
+        on the sender's clock; ``None`` if unknown.
     """
 
     name: str
@@ -51,6 +53,7 @@
     changed: tuple[Item, ...]
     removed: tuple[str, ...]
     era: int = 0
+    unchanged_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,7 @@
     if frame.store_deltas:
         fields["readings"] = [_encode_delta(each) for each in frame.store_deltas]
         fields["eras"] = [each.era for each in frame.store_deltas]
+        fields["unchanged"] = [each.unchanged_at for each in frame.store_deltas]
     if frame.crashes:
         fields["crashes"] = encode_crashes(frame.crashes)
     if frame.limits:
@@ -132,6 +136,7 @@
 def _decode_fields(fields: dict[str, Any]) -> Frame:
     rows = fields.get("readings", [])
     eras = fields.get("eras", [0] * len(rows))
+    unchanged = fields.get("unchanged", [None] * len(rows))
     return Frame(
         sent_at=float(fields["at"]),
         node_count=int(fields["heard"]),
@@ -143,7 +148,8 @@
         lost=tuple(str(each) for each in fields.get("lost", [])),
         states={NodeId(node): NodeState(value) for node, value in fields.get("states", {}).items()},
         store_deltas=tuple(
-            _decode_delta(row, int(era)) for row, era in zip(rows, eras, strict=True)
+            _decode_delta(row, int(era), None if at is None else float(at))
+            for row, era, at in zip(rows, eras, unchanged, strict=True)
         ),
         crashes=decode_crashes(fields.get("crashes", {})),
         limits=decode_limits(fields.get("limits", [])),
@@ -322,7 +328,7 @@
     ]
 
 
-def _decode_delta(row: list[Any], era: int) -> StoreDelta:
+def _decode_delta(row: list[Any], era: int, unchanged_at: float | None) -> StoreDelta:
     name, begun_at, trusted, revision, packed, removed = row
     return StoreDelta(
         name=str(name),
@@ -332,4 +338,5 @@
         changed=unpack_items(packed),
         removed=tuple(str(each) for each in removed),
         era=era,
+        unchanged_at=unchanged_at,
     )
--- a/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
@@ -86,11 +86,14 @@
     :param begun_at: when the read began, on this node's clock; the snapshot shows the store's
         content at that time or later.
     :param trusted: whether missing entries were removed, rather than only expired.
+    :param unchanged_at: when the last read began that showed the content of the snapshot received
+        before this one, on this node's clock; ``None`` if unknown.
     """
 
     snapshot: StoreSnapshot
     begun_at: float
     trusted: bool
+    unchanged_at: float | None = None
 
 
 class ZoneRole(Enum):
@@ -118,6 +121,8 @@
     :param role: returns this node's role.
     :param changes: fired whenever the store's content has changed.
     :param reduce: returns the items that agents need; all of them if not given.
+    :ivar content_number: rises with each snapshot that differs from the one before.
+    :ivar unchanged_at: when the last read began that showed the content before the present one.
     """
 
     def __init__(
@@ -149,6 +154,8 @@
         self._refresh_signal = Signal()
         self._changes = changes
         self.latest: ReceivedSnapshot | None = None
+        self.content_number = 0
+        self.unchanged_at: float | None = None
         self._rejected_for: StoreSnapshot | None = None
 
     @property
@@ -303,8 +310,12 @@
             note(_LOG, "store reads resumed", name=self.name, gap=round(self.age, 2))
         settled = received.begun_at - self._outage_ended_at > OUTAGE_GRACE_SECONDS
         self.latest = replace(received, trusted=received.trusted and settled)
+        has_changed = known is None or _differs(known.snapshot, snapshot)
+        if has_changed:
+            self.content_number += 1
+            self.unchanged_at = known.begun_at if known is not None else None
         self._on_snapshot(self.latest)
-        if known is None or _differs(known.snapshot, snapshot):
+        if has_changed:
             self._changes.fire()
         return True
 
@@ -360,7 +371,11 @@
         for item in change.changed:
             items[item.key] = item
         snapshot = StoreSnapshot(tuple(items.values()), change.revision, change.era)
-        return ReceivedSnapshot(snapshot, change.begun_at - self._clock_lead, change.trusted)
+        unchanged_at = change.unchanged_at
+        if unchanged_at is not None:
+            unchanged_at -= self._clock_lead
+        begun_at = change.begun_at - self._clock_lead
+        return ReceivedSnapshot(snapshot, begun_at, change.trusted, unchanged_at)
 
 
 class SnapshotRoutes:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
@@ -200,6 +200,7 @@
         self._cold_revision = -1
         self._items: dict[str, dict[str, Item]] = {}
         self._begun_at: dict[str, float] = {}
+        self._content_numbers: dict[str, int] = {}
 
     def compose(self, now: float) -> tuple[Frame, bool]:
         """Return the next frame, and whether it contains any change."""
@@ -292,6 +293,8 @@
         if latest is None or self._begun_at.get(shared.name) == latest.begun_at:
             return None
         self._begun_at[shared.name] = latest.begun_at
+        follows = self._content_numbers.get(shared.name) == shared.content_number - 1
+        self._content_numbers[shared.name] = shared.content_number
         sent = self._items.get(shared.name, {})
         items = shared.list_items(for_agents=self._scope is FrameScope.STORE)
         current = {each.key: each for each in items}
@@ -305,4 +308,5 @@
             changed=tuple(each for each in items if sent.get(each.key) != each),
             removed=tuple(sent.keys() - current.keys()),
             era=latest.snapshot.era,
+            unchanged_at=shared.unchanged_at if follows else None,
         )
--- a/packages/wrenloft-routing/tests/test_zone.py
+++ b/packages/wrenloft-routing/tests/test_zone.py
@@ -235,6 +235,37 @@
                 assert len(delta.changed) == (2 if era == 1 else 1)
         assert values == [(1, {"a": b"lost", "b": b"same"}), (2, {"a": b"new", "b": b"same"})]
 
+    async def test_frames_say_when_the_content_before_was_last_read(self) -> None:
+        """Guards against deadlines that count from a reading long before the change.
+
+        Of a subscriber that was not sent the content before, it says nothing.
+        """
+        async with _relay() as relay:
+            writer, slow = (relay.open_writer(FrameScope.STORE) for _ in range(2))
+            mirror = SnapshotMirror(0.5)
+
+            def read(begun_at: float, revision: int) -> None:
+                items = (Item("a", b"v", revision),)
+                snapshot = StoreSnapshot(items, revision)
+                relay.shared.accept(ReceivedSnapshot(snapshot, begun_at, True))
+
+            def receive(source: FrameWriter) -> float | None:
+                frame = decode_frame(encode_frame(source.compose(9.0)[0]))
+                return mirror.apply(frame.store_deltas[0]).unchanged_at
+
+            read(1.0, 5)
+            assert receive(writer) is None
+            assert receive(slow) is None
+            read(2.0, 5)
+            read(3.0, 5)
+            read(4.0, 6)
+            assert receive(writer) == 3.0 - 0.5
+            read(5.0, 6)
+            assert receive(writer) is None
+            read(6.0, 7)
+            assert receive(writer) == 5.0 - 0.5
+            assert receive(slow) is None
+
     async def test_subscriber_does_not_get_its_own_requests(self) -> None:
         """A node would count its own requests twice and refuse callers for it.
 
