Stage and verify the next version while an engine unloads

Cause: an engine that waits for its last stream reports an order in progress. The agent then staged no chunk on arrival and chose no load, and began to stage and verify only once the streams had ended.

Change: while the order in progress is its own order to unload, the agent stages, verifies and repeats the order to load until the engine takes it.

In the model of a fleet a load follows the last stream within less than one verification; the test fails before.

Why it holds: staged chunks concern the next order only; the order to unload loads nothing.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -354,6 +354,13 @@
             and self._is_superseded(state.version)
         )
 
+    def _is_unloading(self, state: EngineState) -> bool:
+        """Return whether the engine's streams end before it drops a version past its deadline.
+
+        The next version can be staged and verified meanwhile.
+        """
+        return state.loading and state.sequence == self._unloaded_sequence
+
     def _is_superseded(self, number: int) -> bool:
         """Return whether requests may begin on a newer version than this only."""
         return any(newer > number and self._is_required(newer) for newer in self._unnamed_at)
@@ -392,7 +399,7 @@
         if no engine could serve callers otherwise: engines in a chain take about half of the
         requests that they take with all layers loaded.
         """
-        if state.loading:
+        if state.loading and not self._is_unloading(state):
             return None
         everything = LayerSpan(0, self._context.layers)
         for wanted in reversed(self._wanted):
@@ -731,7 +738,7 @@
         order.
         """
         state = self._context.latest.state
-        if state is None or state.loading:
+        if state is None or (state.loading and not self._is_unloading(state)):
             return
         if self._staging.locked() or any(
             self._is_load_pending(x, state, name) for x in self._wanted
@@ -792,7 +799,7 @@
         # the next version could overwrite a verified one before that.
         async with self._staging:
             await self._verify(step.version_chunks, wanted)
-            result = await self._context.engine.order(step.version_chunks.name, step.span)
+            result = await self._order_once_unloaded(step)
         note(
             _LOG,
             "engine ordered",
@@ -804,6 +811,16 @@
         if result is OrderResult.ACCEPTED:
             await self._await_loaded(number, step.span)
 
+    async def _order_once_unloaded(self, step: LoadStep) -> OrderResult:
+        """Order the engine to load, again and again while it is busy with an order to unload."""
+        while True:
+            state = self._context.latest.state
+            is_unloading = state is not None and self._is_unloading(state)
+            result = await self._context.engine.order(step.version_chunks.name, step.span)
+            if result is not OrderResult.BUSY or not is_unloading:
+                return result
+            await asyncio.sleep(UNLOAD_POLL_SECONDS)
+
     async def _await_loaded(self, number: int, span: LayerSpan) -> None:
         """Wait until the engine reports what it was ordered to load.
 
--- a/packages/wrenloft-swarm/tests/test_overlaps.py
+++ b/packages/wrenloft-swarm/tests/test_overlaps.py
@@ -122,6 +122,26 @@
             assert host.unloaded[1] < 2.0 + scenario.due
             assert host.version == max(named)
 
+    @pytest.mark.parametrize("seed", range(1, 4))
+    def test_next_version_is_loaded_as_soon_as_the_engine_has_unloaded(self, seed: int) -> None:
+        """Guards against staging and verifying only after the last stream on the old version."""
+        scenario = virtual_fleet.Scenario(
+            named={2: 2.0}, agents=14, origin=7.3, between=10.0, due=7.0, layers=16, seed=seed
+        )
+        fleet = virtual_fleet.play(scenario, 16.0)
+        ends = {
+            address: host.unloaded[1] + virtual_fleet.STREAM_SECONDS
+            for address, host in fleet.hosts.items()
+            if host.unloaded.get(1, 16.0) < host.ordered[2]
+        }
+        loads = [
+            fleet.hosts[address].ordered[2] - end
+            for address, end in ends.items()
+            if fleet.complete[2][address] < end - 0.7
+        ]
+        verification = scenario.chunks * virtual_fleet.STAGE_SECONDS / 4
+        assert loads and max(loads) < verification
+
     def test_engines_with_the_version_in_time_are_not_unloaded(self) -> None:
         """Guards against an engine that is emptied though it has the permitted version."""
         fleet = _play("calm")
--- a/packages/wrenloft-swarm/tests/virtual_fleet.py
+++ b/packages/wrenloft-swarm/tests/virtual_fleet.py
@@ -31,6 +31,11 @@
 MODEL = ModelName("m")
 BITMAP_SECONDS = 0.06
 LOAD_SECONDS = 0.8
+STREAM_SECONDS = 1.0
+"""Time until the last stream of an engine that unloads has ended."""
+
+STAGE_SECONDS = 0.02
+"""Time of a call that stages or reads back a chunk."""
 _MEGABIT = 125_000.0
 
 
@@ -120,6 +125,7 @@
     span: LayerSpan | None = None
     served: dict[int, float] = field(default_factory=dict)
     unloaded: dict[int, float] = field(default_factory=dict)
+    ordered: dict[int, float] = field(default_factory=dict)
     reconciler: Reconciler = field(init=False)
 
     async def report(self) -> EngineState:
@@ -130,12 +136,17 @@
         return set(self.staged)
 
     async def read_staged(self, _: VersionName, chunk: int) -> bytes | None:
+        await asyncio.sleep(STAGE_SECONDS)
         return self.staged.get(chunk)
 
     async def stage(self, _: VersionName, chunk: int, data: bytes) -> None:
+        await asyncio.sleep(STAGE_SECONDS)
         self.staged[chunk] = data
 
     async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
+        if self.loading:
+            return OrderResult.BUSY
+        self.ordered.setdefault(name.number, self.fleet.elapsed)
         self.loading = True
         self.sequence += 1
         asyncio.get_running_loop().call_later(LOAD_SECONDS, self._finish, name.number, span)
@@ -146,9 +157,13 @@
             return OrderResult.BUSY
         self.sequence += 1
         self.unloaded[name.number] = self.fleet.elapsed
-        self.version = 0
+        self.loading = True
+        asyncio.get_running_loop().call_later(STREAM_SECONDS, self._drop)
         return OrderResult.ACCEPTED
 
+    def _drop(self) -> None:
+        self.version, self.loading = 0, False
+
     def _finish(self, number: int, span: LayerSpan) -> None:
         self.version, self.span, self.loading = number, span, False
         if span == self.fleet.whole:
