Do not count engines that were unloaded as a cold fleet

Cause: if fewer than a quarter of the engines serve, versions are fetched in parts, and a fetch in progress begins anew. Engines that drop a version past its deadline look the same as after a loss of power. Read in the code.

Change: an agent whose own engine was unloaded decides by how late the version would be.

Why it holds: after a loss of power the engine's number of orders begins anew, so that it doesn't count as unloaded.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -664,10 +664,12 @@
 
         :param missing_before: chunks of older versions that are fetched before.
         """
-        if self._context.is_cold():
-            return True
         state = self._context.latest.state
-        if state is None or (state.span is None and state.sequence != self._unloaded_sequence):
+        is_unloaded = state is not None and state.sequence == self._unloaded_sequence
+        # Engines that unload make the fleet look cold while the next version is nearly complete.
+        if self._context.is_cold() and not is_unloaded:
+            return True
+        if state is None or (state.span is None and not is_unloaded):
             return False  # other engines serve, and take more requests without chains with this one
         missing = (len(version_chunks.list_missing()) + missing_before) * self._context.chunk_bytes
         return should_fetch_parts(
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -99,10 +99,11 @@
     unloaded: list[tuple[int, int]] = field(default_factory=list)
     keeps_weights: bool = False
     lost_unloads: int = 0
+    accepted: int = 0
 
     async def report(self) -> EngineState:
         span = self.span if self.version else None
-        return EngineState(0, 0, self.version, False, 1.0, len(self.loaded), span)
+        return EngineState(0, 0, self.version, False, 1.0, self.accepted, span)
 
     async def list_staged(self, name: VersionName) -> set[int]:
         return set(self.staged)
@@ -127,6 +128,7 @@
         if self.keeps_weights:
             return OrderResult.REFUSED
         self.version = 0
+        self.accepted += 1
         return OrderResult.ACCEPTED
 
     async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
@@ -135,6 +137,7 @@
             return OrderResult.BUSY
         wanted = list_span_chunks(span, LAYERS, COUNT)
         intact = all(self.staged.get(each) == _chunks(name.number)[each] for each in wanted)
+        self.accepted += 1
         self.loaded.append((name.number, intact))
         self.spans.append(span)
         if self.draining:
@@ -601,6 +604,23 @@
         await harness.wait_for(0)
         assert len(engine.unloaded) == 4
 
+    async def test_unloaded_engines_do_not_make_a_nearly_complete_version_split(
+        self, stack: AsyncExitStack, session: ClientSession
+    ) -> None:
+        """Guards against a fetch that begins anew, in parts, when its last chunks are missing."""
+        others = [Neighbour("127.0.0.1:9", near=True)]
+        harness = Harness(stack, session, FakeEngine(version=1), others, version_seconds=1.0)
+        harness.origin.is_unavailable = True
+        reconciler = harness.reconciler
+        name = VersionName(MODEL, 2)
+        version_chunks = reconciler._context.chunk_store.open(name, _digests(2))
+        _fill(version_chunks, range(COUNT - 1))
+        reconciler.set_target_version(2)
+        await harness.wait_for(0)
+        harness.cold = True
+        await asyncio.sleep(0.3)
+        assert not reconciler._should_split(reconciler._newest, version_chunks)
+
     async def test_engine_that_cannot_unload_is_asked_once(
         self, stack: AsyncExitStack, session: ClientSession
     ) -> None:
