--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -508,9 +508,9 @@
     ),
     Safeguard(
         "other nodes of a zone read the store in turns",
-        f"{ROUTING}/_store_snapshots.py",
-        "wait = self._random.uniform(0.0, 2.0 * DIRECT_READ_SECONDS * nodes)",
-        "wait = 0.0",
+        "packages/wrenloft-policy/src/wrenloft_policy/_relays.py",
+        "return random.uniform(0.0, 2.0 * DIRECT_READ_SECONDS * nodes)",
+        "return 0.0",
         f"{ROUTING_TESTS}/test_local_state.py::TestSharedSnapshot"
         "::test_unavailable_store_gets_few_calls_from_many_nodes",
     ),
@@ -1071,7 +1071,7 @@
     Safeguard(
         "a limit binds one incarnation",
         f"{ROUTING}/_endpoints.py",
-        "return self.limits.find_rate(state.endpoint.incarnation) if self.limits else None",
+        "return self.limits.find_rate(state.endpoint.incarnation) if len(self.limits) else None",
         "return next((each.rate for each in self.limits.list_active()), None)",
         f"{ROUTING_TESTS}/test_forward.py::TestRateLimits"
         "::test_restarted_endpoint_is_not_limited",
