--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -146,10 +146,8 @@
 )
 from wrenloft_policy._relays import (
     DIRECT_READ_INTERVALS,
-    DIRECT_READ_SECONDS,
     DIRECT_READ_SPREAD_SECONDS,
     MIN_FRAME_SECONDS,
-    STALE_INTERVALS,
     RelayCandidate,
     assign_places,
     compute_frame_interval,
@@ -205,7 +203,6 @@
     "CRASHES_TO_QUARANTINE",
     "CRASH_TTL_SECONDS",
     "DIRECT_READ_INTERVALS",
-    "DIRECT_READ_SECONDS",
     "DIRECT_READ_SPREAD_SECONDS",
     "IDLE_TIMEOUT_SECONDS",
     "LAST_HOP_SECONDS",
@@ -227,7 +224,6 @@
     "REQUEST_BYTES",
     "REQUEST_START_SECONDS",
     "SHORT_READ_AHEAD_BYTES",
-    "STALE_INTERVALS",
     "SUCCESS_TTL_SECONDS",
     "SWAP_GROUPS",
     "TURN_SECONDS",
