Name the prompt segments of requests in log lines

The failure detector keeps each lost request with its segments, and dates a failure that was noticed by a timeout by when the endpoint was last heard.

--- a/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/__init__.py
@@ -194,6 +194,7 @@
     should_fetch_parts,
     should_load_part,
 )
+from wrenloft_policy._workloads import Workload
 
 __all__ = [
     "ALL_LAYERS",
@@ -284,6 +285,7 @@
     "VersionOrder",
     "VersionProgress",
     "WantedVersion",
+    "Workload",
     "adjust_objective_share",
     "admit",
     "allocate_rate",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from wrenloft_core import OrganisationName, RequestId
+from wrenloft_core import OrganisationName, RequestId, SegmentId
 from wrenloft_policy import (
     NO_NOTICE,
     AdvertisedLimit,
@@ -33,6 +33,7 @@
     :param arrived: time of arrival on :func:`wrenloft_core.read_clock`.
     :param held: what this node holds for the request.
     :param takes_chunks: whether the caller understands an answer whose length is not stated.
+    :param segments: of its prompt that other requests may share; its last one is not among them.
     """
 
     request_id: RequestId
@@ -50,6 +51,7 @@
     arrived: float
     held: Reservation = UNBOUNDED
     takes_chunks: bool = True
+    segments: frozenset[SegmentId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -9,7 +9,8 @@
 
 from prometheus_client import Counter
 
-from wrenloft_core import ContentId, IncarnationId, note, read_clock
+from wrenloft_core import ContentId, IncarnationId, SegmentId, note, read_clock
+from wrenloft_policy import Workload
 from wrenloft_routing._endpoints import Endpoint, Endpoints, EndpointState
 from wrenloft_routing._liveness import Liveness, probe_address
 
@@ -20,8 +21,11 @@
 three heartbeats of 1.2 s, a process restarts within 3 s, and a snapshot of the list is up to 1 s
 old."""
 
-MAX_CONTENTS = 64
-"""Contents kept per endpoint: four times an engine's slots."""
+MAX_WORKLOADS = 64
+"""Workloads kept per endpoint: four times an engine's slots."""
+
+MAX_LOGGED_WORKLOADS = 32
+"""Workloads named in the log line of a failure: twice an engine's slots."""
 
 ENDPOINT_FAILURES = Counter(
     "wrenloft_endpoint_failures", "Endpoints found to have crashed", ["sign"]
@@ -41,31 +45,45 @@
     """An endpoint that ended while requests ran there.
 
     :param contents: of the requests of this node whose answers were lost with it.
-    :param at: time of the first loss.
+    :param at: time of the first loss; where it was noticed by a timeout, the time at which this
+        node last heard of the endpoint.
+    :param workloads: the same requests with their prompt segments.
     """
 
     incarnation: IncarnationId
     contents: frozenset[ContentId]
     sign: FailureSign
     at: float
+    workloads: frozenset[Workload] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class _Loss:
     at: float
     silent: bool
+    heard_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _RunningRequest:
-    content: ContentId
+@dataclass(slots=True, eq=False)
+class RunningRequest:
+    """A request in progress at an endpoint.
+
+    :param heard_at: when the endpoint last sent part of the answer, ``sent_at`` before that.
+    """
+
+    workload: Workload
     sent_at: float
+    heard_at: float
+
+    def record_data(self) -> None:
+        """Record that part of the answer has arrived."""
+        self.heard_at = read_clock()
 
 
 @dataclass(slots=True)
 class _EndpointLosses:
     endpoint: Endpoint
-    contents: dict[ContentId, _Loss] = field(default_factory=dict)
+    workloads: dict[Workload, _Loss] = field(default_factory=dict)
     sign: FailureSign | None = None
     failed_at: float = 0.0
     probing: bool = False
@@ -91,18 +109,24 @@
         self._on_failure = on_failure
         self._probe = probe
         self._losses: dict[IncarnationId, _EndpointLosses] = {}
-        self._running: dict[IncarnationId, list[_RunningRequest]] = {}
+        self._running: dict[IncarnationId, list[RunningRequest]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextmanager
-    def track_request(self, states: Iterable[EndpointState], content: ContentId) -> Iterator[float]:
-        """Track a request in progress at endpoints; yield the time at which it was sent."""
-        request = _RunningRequest(content, read_clock())
+    def track_request(
+        self,
+        states: Iterable[EndpointState],
+        content: ContentId,
+        segments: frozenset[SegmentId] = frozenset(),
+    ) -> Iterator[RunningRequest]:
+        """Track a request in progress at endpoints."""
+        now = read_clock()
+        request = RunningRequest(Workload(content, segments), now, now)
         incarnations = [each.endpoint.incarnation for each in states]
         for incarnation in incarnations:
             self._running.setdefault(incarnation, []).append(request)
         try:
-            yield request.sent_at
+            yield request
         finally:
             for incarnation in incarnations:
                 self._running[incarnation].remove(request)
@@ -116,32 +140,53 @@
         next connection to the endpoint detects it sooner, and repeats are quarantined sooner.
         """
         for request in list(self._running.get(state.endpoint.incarnation, ())):
-            self.record_loss(state, request.content, request.sent_at, silent=True)
+            self.record_request_loss(state, request, silent=True)
+
+    def record_request_loss(
+        self, state: EndpointState, request: RunningRequest, *, silent: bool
+    ) -> None:
+        """Record that the answer to a tracked request was lost at an endpoint."""
+        self._record_loss(state, request.workload, request.sent_at, request.heard_at, silent=silent)
 
     def record_loss(
         self, state: EndpointState, content: ContentId, sent_at: float, *, silent: bool
     ) -> None:
-        """Record that the answer to a request was lost at an endpoint.
+        """Record that the answer to a request without prompt segments was lost at an endpoint.
+
+        :param silent: whether it was noticed by a timeout, and so perhaps long after the failure.
+        """
+        workload = Workload(content, frozenset())
+        self._record_loss(state, workload, sent_at, read_clock(), silent=silent)
+
+    def _record_loss(
+        self,
+        state: EndpointState,
+        workload: Workload,
+        sent_at: float,
+        heard_at: float,
+        *,
+        silent: bool,
+    ) -> None:
+        """Record a lost answer, and check the endpoint.
 
         An endpoint that is leaving, or is no longer listed, may end at any time, which is no
         failure. But a timeout may be noticed only when the list already has the endpoint's next
         incarnation, or none. A request that was sent after the failure is not involved in it.
-
-        :param silent: whether it was noticed by a timeout, and so perhaps long after the failure.
         """
         endpoint = state.endpoint
         listed = self._endpoints.get(endpoint.agent_id) is state
         if state.leaving or not (listed or silent):
             return
         losses = self._losses.setdefault(endpoint.incarnation, _EndpointLosses(endpoint))
-        if content in losses.contents or len(losses.contents) >= MAX_CONTENTS:
+        if workload in losses.workloads or len(losses.workloads) >= MAX_WORKLOADS:
             return
+        loss = _Loss(read_clock(), silent, heard_at)
         if losses.sign is not None:
             if sent_at <= losses.failed_at:
-                losses.contents[content] = _Loss(read_clock(), silent)
-                self._report(losses, frozenset({content}))
+                losses.workloads[workload] = loss
+                self._report(losses, frozenset({workload}))
             return
-        losses.contents[content] = _Loss(read_clock(), silent)
+        losses.workloads[workload] = loss
         if not losses.probing:
             losses.probing = True
             task = asyncio.create_task(self._check(losses))
@@ -164,15 +209,15 @@
         A connection that broke just now broke for another reason. After a silence of seconds the
         endpoint may have failed and restarted, which a later snapshot of the list shows.
         """
-        endpoint, contents = losses.endpoint, sorted(losses.contents)
+        endpoint = losses.endpoint
         note(
             _LOG,
             "endpoint answers after a lost answer",
             endpoint=endpoint.agent_id,
-            contents=contents,
+            contents=sorted({each.content for each in losses.workloads}),
         )
-        losses.contents = {
-            content: loss for content, loss in losses.contents.items() if loss.silent
+        losses.workloads = {
+            workload: loss for workload, loss in losses.workloads.items() if loss.silent
         }
         if self._has_restarted(endpoint):
             self._confirm(losses, FailureSign.RESTARTED)
@@ -181,7 +226,7 @@
         """Compare losses with a new snapshot of the list, and drop old ones."""
         oldest = read_clock() - LOSS_TTL_SECONDS
         for incarnation, losses in list(self._losses.items()):
-            if all(each.at < oldest for each in losses.contents.values()):
+            if all(each.at < oldest for each in losses.workloads.values()):
                 del self._losses[incarnation]
             elif losses.sign is None and self._has_restarted(losses.endpoint):
                 self._confirm(losses, FailureSign.RESTARTED)
@@ -191,16 +236,17 @@
         return any(each.endpoint.incarnation != endpoint.incarnation for each in listed)
 
     def _confirm(self, losses: _EndpointLosses, sign: FailureSign) -> None:
-        if losses.sign is not None or not losses.contents:
+        if losses.sign is not None or not losses.workloads:
             return
         losses.sign = sign
-        losses.failed_at = min(each.at for each in losses.contents.values())
+        losses.failed_at = min(each.at for each in losses.workloads.values())
         ENDPOINT_FAILURES.labels(sign.value).inc()
-        self._report(losses, frozenset(losses.contents))
+        self._report(losses, frozenset(losses.workloads))
 
-    def _report(self, losses: _EndpointLosses, contents: frozenset[ContentId]) -> None:
+    def _report(self, losses: _EndpointLosses, workloads: frozenset[Workload]) -> None:
         assert losses.sign is not None
         endpoint = losses.endpoint
+        contents = frozenset(each.content for each in workloads)
         note(
             _LOG,
             "endpoint failed",
@@ -209,9 +255,13 @@
             sign=losses.sign.value,
             lost_ms_ago=round((read_clock() - losses.failed_at) * 1000),
             contents=sorted(contents),
+            segments=[sorted(each.segments) for each in workloads][:MAX_LOGGED_WORKLOADS],
         )
+        at = losses.failed_at
+        if losses.sign is not FailureSign.REFUSED:
+            at = min(at, max(each.heard_at for each in losses.workloads.values()))
         self._on_failure(
-            EndpointFailure(endpoint.incarnation, contents, losses.sign, losses.failed_at)
+            EndpointFailure(endpoint.incarnation, contents, losses.sign, at, workloads)
         )
 
     async def close(self) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -286,10 +286,14 @@
         coldness = self._endpoints.find_coldness(state)
         log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness)
         try:
-            with self._detector.track_request(placed.states, progress.content) as started:
-                progress.sent_at = started
+            segments = progress.request.segments
+            with self._detector.track_request(
+                placed.states, progress.content, segments
+            ) as progress.running:
+                started = progress.running.sent_at
                 result = await self._open_within(progress, placed)
                 if not isinstance(result, NotSent | Rejected | Lost):
+                    progress.running.record_data()
                     return await self._handle_reply(progress, placed, result, sink, started)
         finally:
             for stage in placed.chain[1:]:
@@ -345,13 +349,11 @@
         elif isinstance(result, Rejected):
             for each in at_fault:
                 if each is not placed.state:
-                    self._detector.record_loss(
-                        each, progress.content, progress.sent_at, silent=True
-                    )
+                    self._detector.record_request_loss(each, progress.running, silent=True)
 
     def _record_loss(self, progress: RequestProgress, placed: Placed, *, silent: bool) -> None:
         for state in placed.states:
-            self._detector.record_loss(state, progress.content, progress.sent_at, silent=silent)
+            self._detector.record_request_loss(state, progress.running, silent=silent)
 
     async def _open_within(
         self, progress: RequestProgress, placed: Placed
@@ -575,6 +577,7 @@
             deadline=progress.deadline,
             resumable=self._can_retry(progress, progress.attempts),
             on_first_event=mark_running,
+            on_data=progress.running.record_data,
             held=held,
         )
         held.resize(before)  # an event that did not become whole
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -15,6 +15,9 @@
 RATE_WINDOW_SECONDS = 4.0
 """Window of the count of requests sent to the endpoint, in log lines."""
 
+MAX_LOGGED_SEGMENTS = 8
+"""Prompt segments named in a log line; prompts usually have up to three."""
+
 REQUESTS = Counter("wrenloft_routing_requests", "Requests by outcome", ["kind", "outcome"])
 REQUEST_SECONDS = Histogram(
     "wrenloft_routing_request_seconds",
@@ -57,6 +60,7 @@
         "attempt",
         request=progress.request.request_id,
         content=progress.content,
+        segments=sorted(progress.request.segments)[:MAX_LOGGED_SEGMENTS],
         rule=progress.rule.name,
         endpoint=progress.peer,
         attempt=progress.attempts + 1,
--- a/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -47,6 +47,7 @@
     deadline: float,
     resumable: bool,
     on_first_event: Callable[[], None],
+    on_data: Callable[[], None] = lambda: None,
     held: Reservation = UNBOUNDED,
 ) -> StreamEnd:
     """Forward events until the endpoint's stream ends.
@@ -58,6 +59,7 @@
     :param resumable: whether a later stall may end this endpoint's stream; if not, the stream waits
         until the deadline, since no other endpoint could resume it.
     :param on_first_event: called on the first event of this endpoint.
+    :param on_data: called whenever bytes arrive.
     :param held: counts the parts of an event until it is whole; a stream with an event beyond the
         bound of a connection counts as broken off.
     """
@@ -83,6 +85,7 @@
                 if splitter.has_partial_event or not stream.begun
                 else StreamEnd.COMPLETE
             )
+        on_data()
         events = splitter.feed(data)
         if not events:
             if not held.add(len(data)):
