Failing tests of a prompt segment that crashes endpoints

Change: stand-ins that crash on a prompt segment, and by four more signs; tests over three processes that send ever new requests with such a segment beside sound ones.

--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -376,23 +376,37 @@
 class CrashSign(Enum):
     """How the other side sees a crash.
 
-    ``RESET`` comes before the first byte of a response, ``CUT`` after a first event. ``SILENT``
-    leaves the connections open, as after a power loss of the host.
+    ``RESET`` comes before the first byte of a response, ``CUT`` after a first event, ``INSIDE``
+    inside an event. ``SILENT`` leaves the connections open, as after a power loss of the host. The
+    others close the connection of an answer without a length cleanly: before its first event,
+    inside it, and after it.
     """
 
     RESET = "reset"
     CUT = "cut"
     SILENT = "silent"
+    INSIDE = "inside"
+    CLOSED_BEFORE = "closed before"
+    CLOSED_INSIDE = "closed inside"
+    CLOSED_AFTER = "closed after"
+
+
+_CLOSING_SIGNS = {
+    CrashSign.CLOSED_BEFORE: b"",
+    CrashSign.CLOSED_INSIDE: b"id: 0\nda",
+    CrashSign.CLOSED_AFTER: b"id: 0\n\n",
+}
 
 
 @dataclass
 class CrashingEndpoint(StandinEndpoint):
-    """An endpoint that crashes when it starts a request with a certain body.
+    """An endpoint that crashes when it starts a request with a certain body or prompt segment.
 
     It restarts some time later under another id, as after a crash on the platform.
 
     :param store: where it registers itself.
     :param crash_on: part of the body of a request that crashes it.
+    :param crash_segments: ids of prompt segments that crash it, except as the last one.
     :param crash_seconds: time from the start of the request to the crash.
     :param down_seconds: time from the crash until it listens again.
     :param begun_at: start of each request that crashes it, on the loop's clock.
@@ -402,6 +416,7 @@
     store: StandinStore = field(default_factory=StandinStore)
     name: str = "i"
     crash_on: bytes = b"crash"
+    crash_segments: frozenset[str] = frozenset()
     sign: CrashSign = CrashSign.RESET
     crash_seconds: float = 0.05
     down_seconds: float = 1.0
@@ -439,7 +454,9 @@
             self._writers.discard(writer)
 
     async def _maybe_crash(self, received: Received, writer: asyncio.StreamWriter) -> bool:
-        if self.crash_on not in received.body:
+        entries = received.headers.get("x-prompt-prefix", "").split(",")[:-1]
+        segments = {each.partition(":")[0] for each in entries}
+        if self.crash_on not in received.body and not segments & self.crash_segments:
             return False
         await self._crash(received, writer)
         return True
@@ -447,10 +464,8 @@
     async def _crash(self, received: Received, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
         self.begun_at.append(loop.time())
-        if self.sign is CrashSign.CUT:
-            request_id = received.headers.get("x-attempt-id", "").encode()
-            answer = stream_response(b"id: 0\n\n", end=False).removesuffix(b"RESET")
-            writer.write(answer.replace(b"{id}", request_id))
+        begun = self._begin_answer()
+        writer.write(begun.replace(b"{id}", received.headers.get("x-attempt-id", "").encode()))
         await asyncio.sleep(self.crash_seconds)
         if self._server is None:
             return
@@ -458,6 +473,9 @@
         self._server = None
         self.crashed_at.append(loop.time())
         silent = set(self._writers)
+        if self.sign in _CLOSING_SIGNS:
+            writer.close()
+            self._writers.discard(writer)
         if self.sign is not CrashSign.SILENT:
             await self.stop()
         await self._restart()
@@ -467,6 +485,16 @@
                 if not each.is_closing():
                     _reset(each)
 
+    def _begin_answer(self) -> bytes:
+        """Return what is sent before the crash."""
+        if self.sign is CrashSign.CUT:
+            return stream_response(b"id: 0\n\n", end=False).removesuffix(b"RESET")
+        if self.sign is CrashSign.INSIDE:
+            return stream_response(b"id: 0\nda", end=False).removesuffix(b"RESET")
+        if self.sign in _CLOSING_SIGNS:
+            return open_stream_response(_CLOSING_SIGNS[self.sign])
+        return b""
+
     async def lose_power(self) -> None:
         """Stop at once, whatever is in progress, and restart."""
         if self._server is not None:
@@ -508,6 +536,15 @@
     return head + chunks + (b"0\r\n\r\n" if end else b"RESET")
 
 
+def open_stream_response(*events: bytes) -> bytes:
+    """Return an event stream without a length, which ends with its connection."""
+    head = (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Stamp: s1\r\n"
+        b"Content-Type: text/event-stream\r\n\r\n"
+    )
+    return head + b"|PAUSE|".join(events)
+
+
 @pytest.fixture
 async def stack() -> AsyncIterator[AsyncExitStack]:
     """Own everything that a test opens."""
--- a/tests/platform/test_crashing_content.py
+++ b/tests/platform/test_crashing_content.py
@@ -54,12 +54,14 @@
     numbers: Iterator[int] = field(default_factory=count)
 
     async def send(
-        self, body: bytes, entry: Entry | None = None
+        self, body: bytes, entry: Entry | None = None, segments: str = ""
     ) -> tuple[int, dict[str, str], bytes]:
         """Send a request under a new id, and return status, headers and body."""
         node = entry or self.random.choice(self.entries)
         headers = {"Host": "shop.example", "X-Attempt-Id": f"r{next(self.numbers)}"}
         headers |= KEY
+        if segments:
+            headers["X-Prompt-Prefix"] = segments
         headers["X-Deadline-Ms"] = str(self.random.randrange(2500, 4000))
         url = f"http://{node.settings['front']}{self.path}"
         try:
@@ -112,20 +114,23 @@
 @pytest.fixture
 async def fleet(store: StandinStore, tmp_path: Path) -> AsyncIterator[Fleet]:
     """Run the entry nodes of two zones and the endpoints of one service."""
-    store.put("op/config", CONFIGURATION)
     async with AsyncExitStack() as stack:
-        client = await stack.enter_async_context(ClientSession())
-        endpoints = [
-            CrashingEndpoint(
-                answers=[stream_response(b"id: 0\n\n")] * 1000, store=store, name=f"i{n}"
-            )
-            for n in range(ENDPOINT_COUNT)
-        ]
-        for each in endpoints:
-            await each.start()
-            stack.push_async_callback(each.stop)
-        entries, paths = await start_entries(stack, store, client, tmp_path)
-        yield Fleet(entries, paths, endpoints, client, store)
+        yield await start_fleet(stack, store, tmp_path)
+
+
+async def start_fleet(stack: AsyncExitStack, store: StandinStore, tmp_path: Path) -> Fleet:
+    """Start entry nodes, and endpoints that crash on a certain body."""
+    store.put("op/config", CONFIGURATION)
+    client = await stack.enter_async_context(ClientSession())
+    endpoints = [
+        CrashingEndpoint(answers=[stream_response(b"id: 0\n\n")] * 1000, store=store, name=f"i{n}")
+        for n in range(ENDPOINT_COUNT)
+    ]
+    for each in endpoints:
+        await each.start()
+        stack.push_async_callback(each.stop)
+    entries, paths = await start_entries(stack, store, client, tmp_path)
+    return Fleet(entries, paths, endpoints, client, store)
 
 
 async def start_entries(
