Quarantine prompt segments that crash the engines that answer on them

Cause: a bound over the fleet was kept by content, a digest of caller, path and body. Requests with the same prompt segment differ in content, so that each counted for itself, and its victims were held back (14 contents in the logged window) while the cause was sent on.

Change: nodes report, for each endpoint that failed, the requests in progress with their prompt segments, over the streams that carry the crashes of contents; reports join by union, in any order. A plain function finds the segment: one that no request sent after a crash was answered on, that is at enough crashes at separate moments, and that no narrower or likelier segment or content explains. Requests with it, and with all that such requests had in common, are refused at once with the time of the next probe; those that wait at an engine are cancelled before they begin. Contents no longer count crashes that a quarantined segment explains. The store keeps quarantines.

Why it holds: the decision needs nothing but the reports and the time, and every node has them within a few messages of any relay.

--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -10,12 +10,12 @@
 from wrenloft_routing._crash_guard import CrashGuard, QuarantineStore
 from wrenloft_routing._crash_ledger import (
     CrashLedger,
-    CrashSource,
     CrashUpdates,
     Quarantine,
     ReportedCrash,
 )
 from wrenloft_routing._crash_routes import CrashRoutes
+from wrenloft_routing._crash_source import CrashSource
 from wrenloft_routing._departures import Departure, DepartureLedger, DepartureSource
 from wrenloft_routing._endpoint_routes import EndpointRoutes
 from wrenloft_routing._endpoints import (
@@ -51,8 +51,10 @@
     StoreDelta,
     decode_crashes,
     decode_frame,
+    decode_segment_crashes,
     encode_crashes,
     encode_frame,
+    encode_segment_crashes,
 )
 from wrenloft_routing._gate import Gate, Placed, PlacementRequest, Refused
 from wrenloft_routing._grants import GrantClient, GrantRoutes
@@ -77,6 +79,13 @@
 from wrenloft_routing._proof import FreshnessProof
 from wrenloft_routing._region_routes import RegionRoutes
 from wrenloft_routing._report_streams import ReportSubscriber, decode_report
+from wrenloft_routing._segment_guard import SegmentGuard, SegmentStore
+from wrenloft_routing._segment_ledger import (
+    ReportedSegmentCrash,
+    SegmentCrashUpdates,
+    SegmentLedger,
+    SegmentQuarantine,
+)
 from wrenloft_routing._settings import Bounds, EntrySettings
 from wrenloft_routing._store_snapshots import (
     ReceivedSnapshot,
@@ -200,10 +209,16 @@
     "ReplyBrokenError",
     "ReportSubscriber",
     "ReportedCrash",
+    "ReportedSegmentCrash",
     "Reservation",
     "RoutingTable",
     "Rule",
     "RuleKind",
+    "SegmentCrashUpdates",
+    "SegmentGuard",
+    "SegmentLedger",
+    "SegmentQuarantine",
+    "SegmentStore",
     "SharedRetryBudget",
     "SharedSnapshot",
     "SnapshotMirror",
@@ -221,9 +236,11 @@
     "decode_crashes",
     "decode_frame",
     "decode_report",
+    "decode_segment_crashes",
     "decode_update",
     "encode_crashes",
     "encode_frame",
+    "encode_segment_crashes",
     "encode_update",
     "forward_stream",
     "identify_content",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_crash_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_crash_ledger.py
@@ -3,7 +3,6 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
 from prometheus_client import Counter, Gauge
 
@@ -12,11 +11,14 @@
     CRASH_TTL_SECONDS,
     CRASHES_TO_QUARANTINE,
     Crash,
+    Crashes,
     CrashStatus,
     count_unexplained_crashes,
     list_counted_crashes,
     merge_crash,
 )
+from wrenloft_routing._crash_source import CrashSource
+from wrenloft_routing._segment_ledger import SegmentLedger
 
 MAX_CONTENTS = 1024
 """Contents with crashes that are kept, about 2 MB at most. The failure of a whole rack leaves some
@@ -35,14 +37,6 @@
 QUARANTINED = Gauge("wrenloft_contents_held", "Contents that are held back now")
 
 
-class CrashSource(Enum):
-    """The origin of the report of a content's latest crash."""
-
-    OWN = "own"
-    PEER = "peer"
-    STORE = "store"
-
-
 @dataclass(frozen=True, slots=True)
 class ReportedCrash:
     """A crash as published to other nodes, with its age in seconds, since clocks differ."""
@@ -68,6 +62,11 @@
     crash_times: tuple[float, ...]
     source: CrashSource
 
+    @property
+    def reason(self) -> str:
+        """Why a request is refused, as its caller is told."""
+        return f"{self.count} endpoints fell under this request"
+
     @property
     def age(self) -> float:
         """Seconds since the latest crash."""
@@ -92,6 +91,7 @@
     a relay that fails, lags or sends twice changes nothing once the next one has sent its updates.
 
     :param on_change: called with each content whose crashes have changed.
+    :param segments: the crashes by what their requests' prompts have in common.
     """
 
     def __init__(self) -> None:
@@ -99,11 +99,19 @@
         self.revision = 0
         self._entries: OrderedDict[ContentId, _Entry] = OrderedDict()
         self._suspects: set[ContentId] = set()
+        self.segments = SegmentLedger(self._list_suspects)
         QUARANTINED.set_function(lambda: len(self.list_quarantines()))
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    def _list_suspects(self) -> dict[ContentId, set[IncarnationId]]:
+        """Return the crashes of the contents that may be quarantined."""
+        now = read_clock()
+        return {
+            each: list_counted_crashes(self._entries[each].crashes, now) for each in self._suspects
+        }
+
     def record(
         self, content: ContentId, incarnation: IncarnationId, crash: Crash, source: CrashSource
     ) -> None:
@@ -224,7 +232,7 @@
         now = read_clock()
         entry = self._entries[content]
         others = [self._entries[each].crashes for each in self._suspects if each != content]
-        count = count_unexplained_crashes(entry.crashes, others, now)
+        count = count_unexplained_crashes(self._list_unexplained(entry), others, now)
         if count < CRASHES_TO_QUARANTINE:
             return None
         crash_times = tuple(
@@ -232,14 +240,25 @@
         )
         return Quarantine(content, count, crash_times, entry.source)
 
+    def _list_unexplained(self, entry: _Entry) -> Crashes:
+        """Return the crashes of a content that no quarantined prompt segment explains.
+
+        Requests that are retried may be in progress at three crashes under the same segment.
+        """
+        explained = self.segments.list_explained()
+        if not explained:
+            return entry.crashes
+        return {key: crash for key, crash in entry.crashes.items() if key not in explained}
+
     def list_quarantines(self) -> list[Quarantine]:
         """Return all quarantines in force."""
         quarantines = (self.find_quarantine(each) for each in sorted(self._suspects))
         return [each for each in quarantines if each is not None]
 
     def drop_expired(self) -> None:
-        """Drop contents whose crashes no longer count."""
+        """Drop contents and endpoints whose crashes no longer count."""
         now = read_clock()
+        self.segments.drop_expired()
         for content, entry in list(self._entries.items()):
             if all(now - each.at >= CRASH_TTL_SECONDS for each in entry.crashes.values()):
                 self._drop(content)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -10,7 +10,7 @@
 from prometheus_client import Counter
 
 from wrenloft_core import ContentId, IncarnationId, SegmentId, note, read_clock
-from wrenloft_policy import Workload
+from wrenloft_policy import ANSWERING_SECONDS, Workload
 from wrenloft_routing._endpoints import Endpoint, Endpoints, EndpointState
 from wrenloft_routing._liveness import Liveness, probe_address
 
@@ -48,6 +48,7 @@
     :param at: time of the first loss; where it was noticed by a timeout, the time at which this
         node last heard of the endpoint.
     :param workloads: the same requests with their prompt segments.
+    :param answering: segments of requests that it had been answering for some time.
     """
 
     incarnation: IncarnationId
@@ -55,6 +56,7 @@
     sign: FailureSign
     at: float
     workloads: frozenset[Workload] = frozenset()
+    answering: frozenset[SegmentId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,7 @@
     at: float
     silent: bool
     heard_at: float
+    answering: bool
 
 
 @dataclass(slots=True, eq=False)
@@ -69,16 +72,27 @@
     """A request in progress at an endpoint.
 
     :param heard_at: when the endpoint last sent part of the answer, ``sent_at`` before that.
+    :param begun_at: when the first event of the answer arrived, ``None`` before that.
     """
 
     workload: Workload
     sent_at: float
     heard_at: float
+    begun_at: float | None = None
 
     def record_data(self) -> None:
         """Record that part of the answer has arrived."""
         self.heard_at = read_clock()
 
+    def record_first_event(self) -> None:
+        """Record that the first event of the answer has arrived."""
+        self.begun_at = read_clock()
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether events have arrived for long enough to show that beginning crashed nothing."""
+        return self.begun_at is not None and self.heard_at - self.begun_at >= ANSWERING_SECONDS
+
 
 @dataclass(slots=True)
 class _EndpointLosses:
@@ -146,7 +160,8 @@
         self, state: EndpointState, request: RunningRequest, *, silent: bool
     ) -> None:
         """Record that the answer to a tracked request was lost at an endpoint."""
-        self._record_loss(state, request.workload, request.sent_at, request.heard_at, silent=silent)
+        loss = _Loss(read_clock(), silent, request.heard_at, request.is_answering)
+        self._record_loss(state, request.workload, request.sent_at, loss)
 
     def record_loss(
         self, state: EndpointState, content: ContentId, sent_at: float, *, silent: bool
@@ -155,17 +170,12 @@
 
         :param silent: whether it was noticed by a timeout, and so perhaps long after the failure.
         """
-        workload = Workload(content, frozenset())
-        self._record_loss(state, workload, sent_at, read_clock(), silent=silent)
+        now = read_clock()
+        loss = _Loss(now, silent, heard_at=now, answering=False)
+        self._record_loss(state, Workload(content, frozenset()), sent_at, loss)
 
     def _record_loss(
-        self,
-        state: EndpointState,
-        workload: Workload,
-        sent_at: float,
-        heard_at: float,
-        *,
-        silent: bool,
+        self, state: EndpointState, workload: Workload, sent_at: float, loss: _Loss
     ) -> None:
         """Record a lost answer, and check the endpoint.
 
@@ -175,12 +185,11 @@
         """
         endpoint = state.endpoint
         listed = self._endpoints.get(endpoint.agent_id) is state
-        if state.leaving or not (listed or silent):
+        if state.leaving or not (listed or loss.silent):
             return
         losses = self._losses.setdefault(endpoint.incarnation, _EndpointLosses(endpoint))
         if workload in losses.workloads or len(losses.workloads) >= MAX_WORKLOADS:
             return
-        loss = _Loss(read_clock(), silent, heard_at)
         if losses.sign is not None:
             if sent_at <= losses.failed_at:
                 losses.workloads[workload] = loss
@@ -260,8 +269,16 @@
         at = losses.failed_at
         if losses.sign is not FailureSign.REFUSED:
             at = min(at, max(each.heard_at for each in losses.workloads.values()))
+        answering = {
+            segment
+            for each in workloads
+            if losses.workloads[each].answering
+            for segment in each.segments
+        }
         self._on_failure(
-            EndpointFailure(endpoint.incarnation, contents, losses.sign, at, workloads)
+            EndpointFailure(
+                endpoint.incarnation, contents, losses.sign, at, workloads, frozenset(answering)
+            )
         )
 
     async def close(self) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -21,8 +21,7 @@
 from wrenloft_routing._answers import AnswerShortageError, relay_answer
 from wrenloft_routing._budget import SharedRetryBudget
 from wrenloft_routing._content import identify_content
-from wrenloft_routing._crash_guard import CrashGuard
-from wrenloft_routing._crash_ledger import Quarantine
+from wrenloft_routing._crash_guard import AnyQuarantine, CrashGuard
 from wrenloft_routing._endings import give_up, send_failure, send_refusal
 from wrenloft_routing._endpoints import Endpoints, EndpointState
 from wrenloft_routing._exchange import (
@@ -36,7 +35,7 @@
     Reply,
     ReplyBrokenError,
 )
-from wrenloft_routing._failure_detector import FailureDetector
+from wrenloft_routing._failure_detector import FailureDetector, RunningRequest
 from wrenloft_routing._gate import Gate, Placed, Refused
 from wrenloft_routing._loads import NO_LOAD, InProgress
 from wrenloft_routing._proof import FreshnessProof
@@ -47,6 +46,7 @@
     record_outcome,
 )
 from wrenloft_routing._request_progress import RequestProgress, build_placement_request
+from wrenloft_routing._segment_ledger import SegmentQuarantine
 from wrenloft_routing._streams import StreamEnd, forward_stream
 from wrenloft_routing._table import (
     AllowedRegions,
@@ -122,6 +122,8 @@
         self._guard = guard
         self._request_grants = request_grants
         self._longest_timeouts: dict[str, float] = {}
+        self._opening: dict[RunningRequest, asyncio.Timeout] = {}
+        guard.segments.on_begin = self._cancel_refused
 
     async def forward(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
         """Answer a request with exactly one final answer, on every path."""
@@ -189,20 +191,20 @@
             placed = await self._place(progress)
             if isinstance(placed, Refused):
                 return give_up(progress, "place", placed, self._random)
-            if not progress.is_probe and self._guard.find_quarantine(progress.content) is not None:
+            if not progress.is_probe and self._guard.find_refusal(progress.workload) is not None:
                 continue  # the update arrived while the request waited
             outcome = await self._attempt(progress, placed, sink)
             if outcome is not None:
                 return outcome
 
-    async def _find_quarantine(self, progress: RequestProgress) -> Quarantine | None:
+    async def _find_quarantine(self, progress: RequestProgress) -> AnyQuarantine | None:
         """Return the quarantine that forbids sending a request, ``None`` if it may be sent.
 
         A request that crashes each engine that begins it is repeated under new ids, at any node.
         Unless the attempts of one content are limited together, it takes down the whole fleet and
         every stream that runs there. Refusing it after the third crash preserves the other engines.
         """
-        quarantine = self._guard.find_quarantine(progress.content)
+        quarantine = self._guard.find_refusal(progress.workload)
         if quarantine is None:
             return None
         if progress.attempts:
@@ -210,8 +212,8 @@
         progress.is_probe = progress.is_probe or await self._guard.claim_probe(quarantine)
         return None if progress.is_probe else quarantine
 
-    def _refuse_quarantined(self, progress: RequestProgress, quarantine: Quarantine) -> Outcome:
-        """End a request whose content is quarantined, with the time of the next probe."""
+    def _refuse_quarantined(self, progress: RequestProgress, quarantine: AnyQuarantine) -> Outcome:
+        """End a quarantined request, with the time of the next probe."""
         self._guard.count_refusal(quarantine)
         retry_after = self._guard.measure_retry_after(quarantine)
         note(
@@ -219,13 +221,14 @@
             "quarantined request refused",
             request=progress.request.request_id,
             content=progress.content,
+            segment=quarantine.segment if isinstance(quarantine, SegmentQuarantine) else None,
             crashes=quarantine.count,
             age_ms=round(quarantine.age * 1000),
             source=quarantine.source.value,
             attempts=progress.attempts,
             retry_after=round(retry_after, 2),
         )
-        reason = f"{quarantine.count} endpoints fell under this request"
+        reason = quarantine.reason
         if progress.may_have_run or progress.stream.begun:
             return Unknown("hold", reason, progress.peer)
         return NotRun("hold", reason, retry_after=retry_after)
@@ -286,9 +289,8 @@
         coldness = self._endpoints.find_coldness(state)
         log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness)
         try:
-            segments = progress.request.segments
             with self._detector.track_request(
-                placed.states, progress.content, segments
+                placed.states, progress.content, progress.workload.segments
             ) as progress.running:
                 started = progress.running.sent_at
                 result = await self._open_within(progress, placed)
@@ -320,6 +322,9 @@
             return self._after_rejected(progress, state, result, at_fault)
         if result.at_fault:
             self._endpoints.record_failure(state, read_clock())
+        elif (quarantine := self._guard.find_refusal(progress.workload)) is not None:
+            progress.may_have_run = True
+            return self._refuse_quarantined(progress, quarantine)
         return self._after_lost(progress, "send", result.reason)
 
     def _find_at_fault(
@@ -355,6 +360,10 @@
         for state in placed.states:
             self._detector.record_request_loss(state, progress.running, silent=silent)
 
+    def _record_answer(self, progress: RequestProgress, placed: Placed, status: int) -> None:
+        incarnations = [each.endpoint.incarnation for each in placed.states]
+        self._guard.record_answer(progress.workload, incarnations, progress.running.sent_at, status)
+
     async def _open_within(
         self, progress: RequestProgress, placed: Placed
     ) -> Reply | NotSent | Rejected | Lost:
@@ -371,15 +380,32 @@
                 progress.rank, overdue=progress.elapsed > 0.0, begun=progress.stream.begun
             ),
         )
+        running = progress.running
         try:
-            async with asyncio.timeout(self._silence_timeout(progress, left)):
+            async with asyncio.timeout(self._silence_timeout(progress, left)) as timeout:
+                if not progress.is_probe:
+                    self._opening[running] = timeout
                 return await self._open(attempt)
         except TimeoutError:
+            if running in self._opening and self._is_refused(running):
+                return Lost("quarantined while it waited at the endpoint", at_fault=False)
             if read_clock() >= progress.begin_by:
                 # Cancelled ahead of a version's deadline, which is no fault of the endpoint.
                 # Counted as a failure, it excluded every engine for 1.5 s after each swap.
                 return Lost("not begun before the version is due", at_fault=False)
             return Lost("no answer in time", silent=True)
+        finally:
+            self._opening.pop(running, None)
+
+    def _is_refused(self, running: RunningRequest) -> bool:
+        return self._guard.find_refusal(running.workload) is not None
+
+    def _cancel_refused(self) -> None:
+        """Cancel requests that wait at endpoints and would crash them once they begin."""
+        now = asyncio.get_running_loop().time()
+        for running, timeout in self._opening.items():
+            if self._is_refused(running):
+                timeout.reschedule(now)
 
     def _silence_timeout(self, progress: RequestProgress, left: float) -> float:
         """Return the seconds for which an endpoint may stay silent before it is given up."""
@@ -543,8 +569,7 @@
             return self._discard_reply(progress, placed, f"answer broke off: {error}")
         await self._release_connection(progress, state, reply)
         self._endpoints.record_success(state)
-        if reply.status < 500:
-            self._guard.record_success(progress.content)
+        self._record_answer(progress, placed, reply.status)
         if body is not None and progress.rule.kind is not RuleKind.STREAM:
             seconds = compute_usual_seconds(read_clock() - started, reply.load)
             self._gate.record_work_seconds(progress.service.name, seconds)
@@ -567,6 +592,7 @@
             running = InProgress(running=1)
             state.add_load(running - progress.load)
             progress.load = running
+            progress.running.record_first_event()
 
         end = await forward_stream(
             reply,
@@ -587,7 +613,7 @@
         if end is StreamEnd.COMPLETE:
             await self._release_connection(progress, state, reply)
             self._endpoints.record_success(state)
-            self._guard.record_success(progress.content)
+            self._record_answer(progress, placed, reply.status)
             ATTEMPTS.labels("answered").inc()
             await sink.end()
             return Done(progress.peer)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -10,8 +10,15 @@
 from math import isfinite
 from typing import Any
 
-from wrenloft_core import AgentId, ContentId, IncarnationId, NodeId, ServiceName
-from wrenloft_policy import CrashStatus, LayerSpan, RateLimit, RequestKind
+from wrenloft_core import AgentId, ContentId, IncarnationId, NodeId, SegmentId, ServiceName
+from wrenloft_policy import (
+    CrashStatus,
+    LayerSpan,
+    RateLimit,
+    RequestKind,
+    SegmentEvidence,
+    Workload,
+)
 from wrenloft_routing._cold_ledger import ColdReport, ColdUpdates
 from wrenloft_routing._crash_ledger import CrashUpdates, ReportedCrash
 from wrenloft_routing._departures import DepartureUpdates
@@ -21,6 +28,7 @@
 from wrenloft_routing._loads import InProgress, QueueLength
 from wrenloft_routing._members import NodeState
 from wrenloft_routing._packing import Item, pack_items, unpack_items
+from wrenloft_routing._segment_ledger import ReportedSegmentCrash, SegmentCrashUpdates
 
 
 class FrameScope(Enum):
@@ -73,6 +81,7 @@
     :param departures: endpoints that are newly known to be leaving.
     :param cold: coldness that answers have newly stated.
     :param kinds: competing kinds of requests, ``None`` if they have not changed.
+    :param segment_crashes: new records of endpoints that crashed, with the prompt segments there.
     """
 
     sent_at: float
@@ -88,6 +97,7 @@
     departures: DepartureUpdates | None = None
     cold: ColdUpdates | None = None
     kinds: KindLoads | None = None
+    segment_crashes: SegmentCrashUpdates | None = None
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -119,6 +129,8 @@
         fields["cold"] = encode_cold(frame.cold)
     if frame.kinds is not None:
         fields["kinds"] = encode_kinds(frame.kinds)
+    if frame.segment_crashes:
+        fields["segments"] = encode_segment_crashes(frame.segment_crashes)
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
@@ -156,6 +168,9 @@
         departures=decode_departures(fields.get("leaving", {})),
         cold=decode_cold(fields["cold"]) if "cold" in fields else None,
         kinds=decode_kinds(fields.get("kinds")),
+        segment_crashes=(
+            decode_segment_crashes(fields["segments"]) if "segments" in fields else None
+        ),
     )
 
 
@@ -225,6 +240,39 @@
     }
 
 
+def encode_segment_crashes(updates: SegmentCrashUpdates) -> dict[str, list[Any]]:
+    """Encode crashes as rows of age, workloads and evidence."""
+    return {
+        incarnation: [
+            round(crash.age, 3),
+            [[each.content, *sorted(each.segments)] for each in crash.workloads],
+            {segment: int(each) for segment, each in crash.evidence.items()},
+        ]
+        for incarnation, crash in updates.items()
+    }
+
+
+def decode_segment_crashes(rows: dict[str, list[Any]]) -> SegmentCrashUpdates:
+    """Decode the rows of crashes with prompt segments.
+
+    :raises ValueError: if an age is not finite.
+    """
+    updates = {}
+    for incarnation, (age, workloads, evidence) in rows.items():
+        if not isfinite(age):
+            raise ValueError("age of a crash is not finite")
+        updates[IncarnationId(str(incarnation))] = ReportedSegmentCrash(
+            float(age),
+            frozenset(_decode_workload(*each) for each in workloads),
+            {SegmentId(str(name)): SegmentEvidence(each) for name, each in evidence.items()},
+        )
+    return updates
+
+
+def _decode_workload(content: Any, *segments: Any) -> Workload:
+    return Workload(ContentId(str(content)), frozenset(SegmentId(str(each)) for each in segments))
+
+
 def encode_limits(updates: LimitUpdates) -> list[list[Any]] | str:
     """Encode limits as packed items."""
     return pack_items([_write_limit(*each) for each in updates.items()])
--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -12,7 +12,8 @@
 from wrenloft_core import AgentId, ServiceName, note, read_clock
 from wrenloft_policy import compute_frame_interval
 from wrenloft_routing._cold_ledger import ColdUpdates
-from wrenloft_routing._crash_ledger import CrashLedger, CrashSource, CrashUpdates
+from wrenloft_routing._crash_ledger import CrashLedger, CrashUpdates
+from wrenloft_routing._crash_source import CrashSource
 from wrenloft_routing._departures import DepartureUpdates
 from wrenloft_routing._endpoints import Endpoints
 from wrenloft_routing._frames import (
@@ -23,18 +24,21 @@
     decode_limits,
     decode_loads,
     decode_queues,
+    decode_segment_crashes,
     encode_cold,
     encode_crashes,
     encode_kinds,
     encode_limits,
     encode_loads,
     encode_queues,
+    encode_segment_crashes,
 )
 from wrenloft_routing._kind_ledger import KindLoads
 from wrenloft_routing._limit_ledger import LimitUpdates
 from wrenloft_routing._loads import NO_LOAD, InProgress, LoadUpdate, QueueLength
 from wrenloft_routing._members import Members, NodeState
 from wrenloft_routing._metrics import MESSAGES
+from wrenloft_routing._segment_ledger import SegmentCrashUpdates
 from wrenloft_routing._subscriptions import NodePeer
 from wrenloft_routing._zone_view import ZoneView
 
@@ -64,6 +68,8 @@
     :param limits: rate limits of endpoints that have changed since the last update.
     :param departures: endpoints newly known to be leaving since the last update.
     :param cold: coldness that answers have stated since the last update.
+    :param segment_crashes: endpoints that crashed, with the prompt segments there, that are new
+        since the last update.
     """
 
     ready: bool
@@ -72,6 +78,7 @@
     limits: LimitUpdates = field(default_factory=dict)
     departures: DepartureUpdates = field(default_factory=dict)
     cold: ColdUpdates = field(default_factory=dict)
+    segment_crashes: SegmentCrashUpdates = field(default_factory=dict)
 
 
 class LoadRoutes:
@@ -130,9 +137,12 @@
         sent_kinds: KindLoads = {}
         sent_crash_revision = sent_limit_revision = sent_departure_revision = 0
         sent_cold_revision = -1
+        sent_segment_revision = 0
         while True:
             crashes = self._crashes.list_changes(sent_crash_revision)
             sent_crash_revision = self._crashes.revision
+            segment_crashes = self._crashes.segments.list_changes(sent_segment_revision)
+            sent_segment_revision = self._crashes.segments.revision
             limits = self._endpoints.limits.list_changes(sent_limit_revision)
             sent_limit_revision = self._endpoints.limits.revision
             departures = self._endpoints.list_departures(sent_departure_revision)
@@ -148,13 +158,16 @@
             rest = (self._is_ready(), self._list_queues())
             now = read_clock()
             has_changes = bool(changed or crashes or limits or departures or cold)
+            has_changes = has_changes or bool(segment_crashes)
             kinds = self._list_kinds()
             has_changes = has_changes or rest != sent_rest or kinds != sent_kinds
             if has_changes or now - sent_at >= LOAD_HEARTBEAT_SECONDS:
                 sent, sent_rest, sent_at = current, rest, now
                 load = LoadUpdate(changed, rest[1], kinds=None if kinds == sent_kinds else kinds)
                 sent_kinds = kinds
-                update = NodeUpdate(rest[0], load, crashes, limits, departures, cold)
+                update = NodeUpdate(
+                    rest[0], load, crashes, limits, departures, cold, segment_crashes
+                )
                 await response.write(encode_update(update))
                 MESSAGES.labels("load", "sent").inc()
             await asyncio.sleep(compute_frame_interval(self._members.count_near()))
@@ -168,6 +181,8 @@
         further["kinds"] = encode_kinds(load.kinds)
     if update.cold:
         further["cold"] = encode_cold(update.cold)
+    if update.segment_crashes:
+        further["segments"] = encode_segment_crashes(update.segment_crashes)
     fields: list[Any] = [
         update.ready,
         encode_loads(load.in_progress),
@@ -198,7 +213,8 @@
         limits = decode_limits(rest[1] if len(rest) > 1 else [])
         departures = decode_departures(rest[2] if len(rest) > 2 else {})
         cold = decode_cold(further.get("cold", []))
-        return NodeUpdate(bool(ready), load, crashes, limits, departures, cold)
+        segment_crashes = decode_segment_crashes(further.get("segments", {}))
+        return NodeUpdate(bool(ready), load, crashes, limits, departures, cold, segment_crashes)
     except (TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"line is not a load update: {error!r}") from error
 
@@ -257,6 +273,7 @@
         MESSAGES.labels("load", "received").inc()
         self._view.record_node(node.node_id, update.load)
         self._view.crashes.merge(update.crashes, CrashSource.PEER)
+        self._view.crashes.segments.merge(update.segment_crashes, CrashSource.PEER)
         self._view.limits.merge(update.limits)
         self._view.endpoints.merge_departures(update.departures)
         self._view.endpoints.merge_cold(update.cold)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -51,6 +51,11 @@
     load: InProgress = NO_LOAD
     answer_begun: bool = False
 
+    @property
+    def workload(self) -> Workload:
+        """What an endpoint runs for the request."""
+        return Workload(self.content, self.request.segments)
+
     @property
     def left(self) -> float:
         """Seconds for which the caller still waits."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone.py
@@ -10,7 +10,7 @@
 
 from wrenloft_core import NodeId, PlaceName, note, read_clock
 from wrenloft_policy import assign_places
-from wrenloft_routing._crash_ledger import CrashSource
+from wrenloft_routing._crash_source import CrashSource
 from wrenloft_routing._endpoints import Endpoints
 from wrenloft_routing._frame_streams import FrameRoutes, read_frames
 from wrenloft_routing._frames import Frame, FrameScope
@@ -212,6 +212,7 @@
         self._members.record_own_state(states.pop(self._members.own.node_id, None))
         self._members.update_states(states)
         self._view.crashes.merge(frame.crashes or {}, CrashSource.PEER)
+        self._view.crashes.segments.merge(frame.segment_crashes or {}, CrashSource.PEER)
         self._view.limits.merge(frame.limits or {})
         self._endpoints.merge_departures(frame.departures or {})
         self._apply_deltas(frame, mirror)
@@ -309,6 +310,7 @@
             self._apply_reports(frame, reachable_engines, now)
         self._members.update_states(frame.states or {})
         self._view.crashes.merge(frame.crashes or {}, CrashSource.PEER)
+        self._view.crashes.segments.merge(frame.segment_crashes or {}, CrashSource.PEER)
         self._view.limits.merge(frame.limits or {})
         self._endpoints.merge_departures(frame.departures or {})
         self._apply_deltas(frame, mirror)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_zone_view.py
@@ -195,6 +195,7 @@
         self._reported_loads_at = float("-inf")
         self._states: dict[NodeId, NodeState] = {}
         self._crash_revision = 0
+        self._segment_revision = 0
         self._limit_revision = 0
         self._departure_revision = 0
         self._cold_revision = -1
@@ -213,6 +214,8 @@
         states = self._diff_states()
         crashes = self._view.crashes.list_changes(self._crash_revision)
         self._crash_revision = self._view.crashes.revision
+        segment_crashes = self._view.crashes.segments.list_changes(self._segment_revision)
+        self._segment_revision = self._view.crashes.segments.revision
         limits = self._view.limits.list_changes(self._limit_revision)
         self._limit_revision = self._view.limits.revision
         departures = self._view.endpoints.list_departures(self._departure_revision)
@@ -220,7 +223,7 @@
         cold = self._view.endpoints.cold.ledger.list_changes(self._cold_revision)
         self._cold_revision = self._view.endpoints.cold.ledger.revision
         changed = bool(loads or reports or lost or states or deltas or crashes or limits)
-        changed = changed or bool(departures or cold)
+        changed = changed or bool(departures or cold or segment_crashes)
         changed = changed or queues != self._queues
         self._queues = queues
         kinds = self._diff_kinds(now)
@@ -229,7 +232,7 @@
         frame = Frame(
             now, nodes, loads, queues, reports, lost, states, deltas, crashes, limits, departures
         )
-        frame = replace(frame, cold=cold)
+        frame = replace(frame, cold=cold, segment_crashes=segment_crashes)
         if kinds is not None:
             frame = replace(frame, kinds=kinds)
         return frame, changed
--- a/packages/wrenloft/src/wrenloft/_cli.py
+++ b/packages/wrenloft/src/wrenloft/_cli.py
@@ -411,7 +411,7 @@
 
 class _HeldList(_OperatorCommand):
     name = "held list"
-    description = "Lists the contents that are held back because endpoints fell under them."
+    description = "Lists the contents and prompt segments under which endpoints fell."
     options = [_INTERNAL, _JSON]
 
     def handle(self) -> int:
@@ -431,8 +431,8 @@
 
 class _HeldLift(_OperatorCommand):
     name = "held lift"
-    description = "Lets requests of a content through again, at all entry nodes."
-    arguments = [argument("content", "The content's id, from held list or a log line.")]
+    description = "Lets a content or a prompt segment through again, at all entry nodes."
+    arguments = [argument("content", "Its id, from held list or a log line.")]
     options = [_INTERNAL]
 
     def handle(self) -> int:
@@ -635,12 +635,13 @@
 
 
 def describe_hold(row: dict[str, Any]) -> str:
-    """Return one line about a content that is held back.
+    """Return one line about a content or a prompt segment that is held back.
 
     :param row: as an entry node lists it.
     """
+    name = row["content"] if row["kind"] == "content" else f"{row['kind']} {row['content']}"
     return (
-        f"{row['content']}  {row['crashes']} endpoints fell, the last {row['age_s']:.0f} s ago "
+        f"{name}  {row['crashes']} endpoints fell, the last {row['age_s']:.0f} s ago "
         f"(told by {row['source']}); tried once more in {row['trial_in_s']:.0f} s"
     )
 
