Check the endpoint of an answer that ends with its connection

Callers saw: a stream, or part of a body, that ended as if it were complete although its engine had crashed.

Cause: an answer with neither a length nor chunks ends with its connection, and a process that ends closes its connections cleanly too.

Change: after such an answer one connection is opened to its endpoint. If it is refused, the answer was cut off: a stream is resumed elsewhere or aborted, a body is given by another endpoint. An endpoint that is leaving or no longer listed may end after its answer. The connection of such an answer no longer counts as kept.

Why it holds: a refused connection is something that a process which has ended can't avoid. It costs one connection for each such answer.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -121,7 +121,8 @@
     """The head of an endpoint's answer, with its body still to be read.
 
     ``genuine`` is whether it is the endpoint's answer to this request, ``closing`` whether the
-    endpoint closes the connection after it.
+    endpoint closes the connection after it, and ``framed`` whether its end is stated; otherwise it
+    ends with the connection.
     """
 
     status: int
@@ -132,6 +133,7 @@
     genuine: bool
     is_stream: bool
     closing: bool
+    framed: bool
 
     async def read_whole(self) -> bytes:
         """Return the body.
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -202,6 +202,17 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    async def has_ended(self, state: EndpointState) -> bool:
+        """Return whether an endpoint that has closed a connection cleanly has ended.
+
+        An answer without a length ends with its connection, and so does each answer of a process
+        that ends. An endpoint that is leaving, or is no longer listed, may end after its answer.
+        """
+        listed = self._endpoints.get(state.endpoint.agent_id) is state
+        if state.leaving or not listed:
+            return False
+        return await self._probe(state.endpoint.address) is Liveness.REFUSED
+
     async def _check(self, losses: _EndpointLosses) -> None:
         liveness = await self._probe(losses.endpoint.address)
         losses.probing = False
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -513,7 +513,7 @@
         The endpoint has no more to do with it, however slowly the caller takes the answer.
         """
         await reply.close(reusable=True)
-        if not reply.closing:
+        if reply.framed and not reply.closing:
             state.push_idle_connection(read_clock())
         self._release_load(progress, state)
 
@@ -567,6 +567,8 @@
             return Unknown("read", f"memory: {error}", progress.peer)
         except ReplyBrokenError as error:
             return self._discard_reply(progress, placed, f"answer broke off: {error}")
+        if not reply.framed and await self._detector.has_ended(state):
+            return self._discard_reply(progress, placed, "endpoint ended with its answer")
         await self._release_connection(progress, state, reply)
         self._endpoints.record_success(state)
         self._record_answer(progress, placed, reply.status)
@@ -610,6 +612,8 @@
         if first and progress.stream.begun:
             FIRST_EVENT_SECONDS.observe(progress.stream.begun_at - progress.request.arrived)
             self._record_first_event(progress)
+        if end is StreamEnd.COMPLETE and not reply.framed and await self._detector.has_ended(state):
+            end = StreamEnd.BROKEN
         if end is StreamEnd.COMPLETE:
             await self._release_connection(progress, state, reply)
             self._endpoints.record_success(state)
--- a/packages/wrenloft-routing/tests/conftest.py
+++ b/packages/wrenloft-routing/tests/conftest.py
@@ -22,6 +22,7 @@
     genuine: bool = True
     is_stream: bool = False
     closing: bool = False
+    framed: bool = True
     closed: list[bool] = field(default_factory=list)
 
     async def read_whole(self) -> bytes:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -762,6 +762,57 @@
         assert harness.attempts[1].left < harness.attempts[0].left <= 0.5
 
 
+class TestAnswersWithoutLength:
+    """Tests of answers that end with their connection."""
+
+    async def test_stream_of_a_live_endpoint_is_complete(self) -> None:
+        """Guards against failing streams that state no length."""
+        harness = Harness(FakeReply([_events(0, 1)], is_stream=True, framed=False))
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert harness.sink.ended
+
+    async def test_stream_that_ends_with_its_endpoint_is_resumed(self) -> None:
+        """Guards against a truncated stream that is passed on as complete."""
+        first = FakeReply([_events(0)], is_stream=True, framed=False)
+        harness = Harness(first, FakeReply([_events(1)], is_stream=True))
+        harness.liveness = Liveness.REFUSED
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert harness.attempts[1].last_event == 0
+
+    async def test_stream_that_cannot_be_resumed_is_aborted_with_its_endpoint(self) -> None:
+        """The caller must not take what it has for the whole stream."""
+        harness = Harness(FakeReply([_events(0)], is_stream=True, framed=False))
+        harness.liveness = Liveness.REFUSED
+        await harness.send("fixed")
+        assert harness.sink.aborted
+        assert not harness.sink.ended
+
+    async def test_whole_answer_that_ends_with_its_endpoint_is_given_by_another(self) -> None:
+        """Guards against part of a body that is passed on as the whole."""
+        harness = Harness(FakeReply([b"par"], framed=False), FakeReply([b"whole"]))
+        harness.liveness = Liveness.REFUSED
+        await harness.send("safe")
+        assert harness.sink.body == b"whole"
+
+    async def test_leaving_endpoint_may_end_after_its_answer(self) -> None:
+        """Guards against failing the last answers of an endpoint that drains."""
+        notice = EndpointNotice(leaving=True)
+        harness = Harness(FakeReply([b"last"], framed=False, notice=notice))
+        harness.liveness = Liveness.REFUSED
+        await harness.send("safe")
+        assert harness.sink.body == b"last"
+
+    async def test_connection_is_not_taken_for_reusable(self) -> None:
+        """Guards against predictions that count on a connection which has ended."""
+        harness = Harness(FakeReply([b"ok"], framed=False))
+        await harness.send("safe")
+        state = harness.endpoints.get(harness.attempts[0].endpoint.agent_id)
+        assert state is not None
+        assert not state.has_idle_connection(read_clock())
+
+
 class TestStreams:
     """Tests of event streams."""
 
