--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -20,6 +20,7 @@
     StandinStore,
     find_free_port,
     full_response,
+    open_stream_response,
     stream_response,
 )
 
@@ -183,6 +184,37 @@
         assert (await entry.send("/once/x", headers=KEY, data=b"x" * 1001))[0] == 413
         assert not endpoint.received
 
+    async def test_caller_without_chunks_gets_streams_that_end_with_the_connection(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against callers of HTTP/1.0 whose streams fail, whole or in the middle."""
+        whole = stream_response(b"id: 0\n\n", b"id: 1\n\n")
+        open_ended = open_stream_response(b"id: 0\n\n", b"id: 1\n\n")
+        endpoint.answers = [whole, open_ended]
+        for _ in range(2):
+            answer = await self._read_old(entry)
+            while answer.startswith(b"HTTP/1.0 503") or answer.startswith(b"HTTP/1.1 503"):
+                await asyncio.sleep(0.1)
+                answer = await self._read_old(entry)
+            head, _, body = answer.partition(b"\r\n\r\n")
+            assert b" 200 " in head.splitlines()[0]
+            assert b"chunked" not in head.lower()
+            assert body == b"id: 0\n\nid: 1\n\n"
+
+    @staticmethod
+    async def _read_old(entry: Entry) -> bytes:
+        """Send a request for a stream by HTTP/1.0, and read until the connection ends."""
+        host, _, port = entry.settings["front"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /stream/x HTTP/1.0\r\nHost: shop.example\r\nX-Attempt-Id: r1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
     async def test_revoked_key_is_refused(self, entry: Entry, store: StandinStore) -> None:
         """A configuration without a key takes effect soon after the store has it."""
         changed = {**CONFIGURATION, "version": 9, "tenants": [{"name": "org1", "apiKeys": ["k2"]}]}
