Send a request that may have crashed its engine to no second one

Callers saw: two engines fail for each request with a crashing prompt segment, and with them the streams of others, until the segment was known.

Cause: a request whose engine failed was tried again at once, whatever was known of it.

Change: if this node knows of no answer to requests with one of the segments, the check of the endpoint is awaited (a refused connection, some milliseconds), and a request under whose segment an endpoint crashed gets no second try. Victims, whose segments are answered elsewhere, are tried again as before, and so are requests of which only the connection broke.

Five tests of the forwarder.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -100,7 +100,7 @@
     workloads: dict[Workload, _Loss] = field(default_factory=dict)
     sign: FailureSign | None = None
     failed_at: float = 0.0
-    probing: bool = False
+    check: asyncio.Task[None] | None = None
 
 
 class FailureDetector:
@@ -196,11 +196,17 @@
                 self._report(losses, frozenset({workload}))
             return
         losses.workloads[workload] = loss
-        if not losses.probing:
-            losses.probing = True
-            task = asyncio.create_task(self._check(losses))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        if losses.check is None or losses.check.done():
+            losses.check = asyncio.create_task(self._check(losses))
+            self._tasks.add(losses.check)
+            losses.check.add_done_callback(self._tasks.discard)
+
+    async def wait_for_checks(self, states: Iterable[EndpointState]) -> None:
+        """Wait until the endpoints at which answers were lost have been checked."""
+        known = (self._losses.get(each.endpoint.incarnation) for each in states)
+        checks = [each.check for each in known if each is not None and each.check is not None]
+        if checks:
+            await asyncio.wait(checks)
 
     async def has_ended(self, state: EndpointState) -> bool:
         """Return whether an endpoint that has closed a connection cleanly has ended.
@@ -215,7 +221,6 @@
 
     async def _check(self, losses: _EndpointLosses) -> None:
         liveness = await self._probe(losses.endpoint.address)
-        losses.probing = False
         if liveness is Liveness.REFUSED:
             self._confirm(losses, FailureSign.REFUSED)
         elif liveness is Liveness.UNREACHABLE:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -325,7 +325,7 @@
         elif (quarantine := self._guard.find_refusal(progress.workload)) is not None:
             progress.may_have_run = True
             return self._refuse_quarantined(progress, quarantine)
-        return self._after_lost(progress, "send", result.reason)
+        return await self._after_lost(progress, placed, "send", result.reason)
 
     def _find_at_fault(
         self, state: EndpointState, result: NotSent | Rejected | Lost
@@ -457,14 +457,29 @@
         rest = self._gate.measure_rest(progress.service, progress.regions)
         return give_up(progress, "endpoint", Refused(result.reason, 1, rest=rest), self._random)
 
-    def _after_lost(self, progress: RequestProgress, step: str, reason: str) -> Outcome | None:
+    async def _after_lost(
+        self, progress: RequestProgress, placed: Placed, step: str, reason: str
+    ) -> Outcome | None:
         progress.may_have_run = True
         if self._can_retry(progress, progress.attempts) and progress.left > _MIN_TIME_LEFT_SECONDS:
+            if await self._may_have_crashed(progress, placed):
+                return Unknown(step, f"{reason}; it may have crashed the endpoint", progress.peer)
             if self._budget.withdraw(progress.service.name, read_clock()):
                 return None
             reason = f"{reason}; no second try left in the budget"
         return Unknown(step, reason, progress.peer)
 
+    async def _may_have_crashed(self, progress: RequestProgress, placed: Placed) -> bool:
+        """Return whether a request is suspected of having crashed its endpoint.
+
+        Its second try would crash another one. Requests whose segments are answered elsewhere are
+        victims, and are tried again at once.
+        """
+        if not self._guard.segments.lacks_answer(progress.workload):
+            return False
+        await self._detector.wait_for_checks(placed.states)
+        return self._guard.segments.is_suspect(progress.workload)
+
     async def _handle_reply(
         self,
         progress: RequestProgress,
@@ -484,7 +499,7 @@
             self._endpoints.record_limit(state, reply.named_limit, limit_known=progress.limit_known)
         try:
             if not reply.genuine:
-                return self._discard_reply(progress, placed, "answer is not this request's")
+                return await self._discard_reply(progress, placed, "answer is not this request's")
             if reply.status >= 500 and placed.chain:
                 self._record_loss(progress, placed, silent=True)  # perhaps of a later engine
             failed = reply.status >= 500 and self._can_retry(progress, progress.attempts)
@@ -498,7 +513,7 @@
             if progress.stream.begun and not streams:
                 # The body of an error response is not part of the stream of another engine.
                 reason = f"status {reply.status} behind a begun stream"
-                return self._discard_reply(progress, placed, reason)
+                return await self._discard_reply(progress, placed, reason)
             if streams:
                 return await self._relay_stream(progress, placed, reply, sink)
             return await self._relay_whole(progress, placed, reply, sink, started)
@@ -533,7 +548,7 @@
         except (ReplyBrokenError, TimeoutError):
             return
 
-    def _discard_reply(
+    async def _discard_reply(
         self, progress: RequestProgress, placed: Placed, reason: str, *, silent: bool = False
     ) -> Outcome | None:
         ATTEMPTS.labels("broken").inc()
@@ -546,7 +561,7 @@
         )
         progress.tried.add(placed.state.endpoint.agent_id)
         self._record_loss(progress, placed, silent=silent)
-        return self._after_lost(progress, "read", reason)
+        return await self._after_lost(progress, placed, "read", reason)
 
     async def _relay_whole(
         self,
@@ -566,9 +581,9 @@
         except AnswerShortageError as error:
             return Unknown("read", f"memory: {error}", progress.peer)
         except ReplyBrokenError as error:
-            return self._discard_reply(progress, placed, f"answer broke off: {error}")
+            return await self._discard_reply(progress, placed, f"answer broke off: {error}")
         if not reply.framed and await self._detector.has_ended(state):
-            return self._discard_reply(progress, placed, "endpoint ended with its answer")
+            return await self._discard_reply(progress, placed, "endpoint ended with its answer")
         await self._release_connection(progress, state, reply)
         self._endpoints.record_success(state)
         self._record_answer(progress, placed, reply.status)
@@ -627,7 +642,7 @@
         if end is StreamEnd.STALLED:
             self._endpoints.record_failure(state, read_clock())
         stalled = end is StreamEnd.STALLED
-        return self._discard_reply(progress, placed, f"stream {end.value}", silent=stalled)
+        return await self._discard_reply(progress, placed, f"stream {end.value}", silent=stalled)
 
     def _record_first_event(self, progress: RequestProgress) -> None:
         """Record first attempts only; a retried request was late before it was sent."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
@@ -123,6 +123,18 @@
         self.settle_answers()
         return self._ledger.find_quarantine(workload)
 
+    def lacks_answer(self, workload: Workload) -> bool:
+        """Return whether this node knows of no answer to requests with some segment of these."""
+        self.settle_answers()
+        return any(each not in self._answers for each in workload.segments)
+
+    def is_suspect(self, workload: Workload) -> bool:
+        """Return whether a segment without any known answer was in progress at a crash."""
+        return any(
+            each not in self._answers and self._ledger.is_suspect(each)
+            for each in workload.segments
+        )
+
     def count_refusal(self, quarantine: SegmentQuarantine) -> None:
         """Count a request that was answered without being sent."""
         self._ledger.count_refusal(quarantine.segment)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
@@ -215,6 +215,12 @@
         entry = self._crashes.get(incarnation)
         return entry.crash if entry is not None else None
 
+    def is_suspect(self, segment: SegmentId) -> bool:
+        """Return whether endpoints crashed under a segment for which nothing speaks."""
+        crashes = [self._crashes[each].crash for each in self._incarnations.get(segment, ())]
+        evidence = [each.evidence.get(segment, SegmentEvidence.NONE) for each in crashes]
+        return bool(evidence) and not any(each & ~SegmentEvidence.ANSWERING for each in evidence)
+
     def has_own_crash(self, held: HeldSegment) -> bool:
         """Return whether this node itself observed one of the crashes under a segment."""
         known = (self._crashes.get(each) for each in held.crashes)
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -21,11 +21,13 @@
     RegionName,
     RequestId,
     Revision,
+    SegmentId,
     ServiceName,
     Unknown,
     read_clock,
 )
 from wrenloft_policy import (
+    ANSWER_DELAY_SECONDS,
     ANSWERS_TO_CLEAR_LIMIT,
     AdvertisedLimit,
     Crash,
@@ -35,6 +37,7 @@
     LayerSpan,
     MalformedLoad,
     WantedVersion,
+    Workload,
 )
 from wrenloft_routing import (
     NO_DENIAL,
@@ -762,6 +765,67 @@
         assert harness.attempts[1].left < harness.attempts[0].left <= 0.5
 
 
+class TestCrashingSegments:
+    """Tests of requests with a prompt segment that crashes engines."""
+
+    SEGMENTS = frozenset({SegmentId("bad")})
+
+    @staticmethod
+    def _crash(harness: Harness, count: int) -> None:
+        """Let engines crash, one a second, under the segment at other nodes."""
+        for number in range(count):
+            workload = Workload(ContentId(f"c{number}"), TestCrashingSegments.SEGMENTS)
+            at = read_clock() - count + number
+            harness.crashes.segments.record(
+                IncarnationId(f"other{number}"), at, [workload], CrashSource.PEER
+            )
+
+    async def test_quarantined_segment_is_refused_at_once(self) -> None:
+        """The caller learns why, and when a request is next let through."""
+        harness = Harness()
+        self._crash(harness, 3)
+        await harness.send("stream", segments=self.SEGMENTS)
+        assert harness.sink.status == 503
+        assert b"3 endpoints fell under prompt segment bad" in harness.sink.body
+        assert 50.0 < float(harness.sink.headers["Retry-After"]) <= 60.0
+        assert not harness.attempts
+
+    async def test_request_that_waits_at_an_engine_is_cancelled(self) -> None:
+        """Guards against requests that crash engines although the fleet knows better."""
+        harness = Harness(5.0)
+        started = read_clock()
+        sending = asyncio.create_task(harness.send("fixed", segments=self.SEGMENTS))
+        await asyncio.sleep(0.01)
+        self._crash(harness, 3)
+        outcome = await sending
+        assert isinstance(outcome, Unknown)
+        assert outcome.step == "hold"
+        assert read_clock() - started < 0.5
+        assert harness.sink.status == 502
+
+    async def test_suspect_gets_no_second_try(self) -> None:
+        """Guards against a request that crashes two engines where one shows as much."""
+        harness = Harness(Lost("reset"), FakeReply([_events(0)], is_stream=True))
+        harness.liveness = Liveness.REFUSED
+        outcome = await harness.send("stream", segments=self.SEGMENTS)
+        assert isinstance(outcome, Unknown)
+        assert len(harness.attempts) == 1
+
+    async def test_lost_connection_makes_no_suspect(self) -> None:
+        """Guards against giving up requests of which only the connection broke."""
+        harness = Harness(Lost("reset"), FakeReply([_events(0)], is_stream=True))
+        assert isinstance(await harness.send("stream", segments=self.SEGMENTS), Done)
+
+    async def test_victim_is_tried_again(self) -> None:
+        """Guards against giving up requests whose segments are answered elsewhere."""
+        harness = Harness(Lost("reset"), FakeReply([_events(0)], is_stream=True))
+        harness.liveness = Liveness.REFUSED
+        workload = Workload(ContentId("earlier"), self.SEGMENTS)
+        harness.guard.record_answer(workload, [], read_clock(), 200)
+        await asyncio.sleep(ANSWER_DELAY_SECONDS)
+        assert isinstance(await harness.send("stream", segments=self.SEGMENTS), Done)
+
+
 class TestAnswersWithoutLength:
     """Tests of answers that end with their connection."""
 
