Try victims of a single crash again

Cause: denies a second try after a single crash under a segment whose answers this node doesn't know, and each node lacks answers for some segments of victims.

Change: two crashes under the segment are needed.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -472,8 +472,8 @@
     async def _may_have_crashed(self, progress: RequestProgress, placed: Placed) -> bool:
         """Return whether a request is suspected of having crashed its endpoint.
 
-        Its second try would crash another one. Requests whose segments are answered elsewhere are
-        victims, and are tried again at once.
+        Its second try would crash another one. Requests whose segments are answered, or were in
+        progress at this crash only, are probably victims, and are tried again at once.
         """
         if not self._guard.segments.lacks_answer(progress.workload):
             return False
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
@@ -129,7 +129,7 @@
         return any(each not in self._answers for each in workload.segments)
 
     def is_suspect(self, workload: Workload) -> bool:
-        """Return whether a segment without any known answer was in progress at a crash."""
+        """Return whether a segment without any known answer was in progress at several crashes."""
         return any(
             each not in self._answers and self._ledger.is_suspect(each)
             for each in workload.segments
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
@@ -24,6 +24,9 @@
 MAX_WORKLOADS = 256
 """Workloads kept per crash: what all nodes together had in progress at one endpoint."""
 
+CRASHES_TO_SUSPECT = 2
+"""Crashes under a segment that was never answered from which its requests get no second try."""
+
 REVIEW_SECONDS = 0.2
 """Age beyond which the quarantined segments are determined anew, as they depend on the time."""
 
@@ -216,10 +219,14 @@
         return entry.crash if entry is not None else None
 
     def is_suspect(self, segment: SegmentId) -> bool:
-        """Return whether endpoints crashed under a segment for which nothing speaks."""
+        """Return whether several endpoints crashed under a segment for which nothing speaks.
+
+        At a single crash each node lacks answers for some segments of victims.
+        """
         crashes = [self._crashes[each].crash for each in self._incarnations.get(segment, ())]
         evidence = [each.evidence.get(segment, SegmentEvidence.NONE) for each in crashes]
-        return bool(evidence) and not any(each & ~SegmentEvidence.ANSWERING for each in evidence)
+        answered = any(each & ~SegmentEvidence.ANSWERING for each in evidence)
+        return len(evidence) >= CRASHES_TO_SUSPECT and not answered
 
     def has_own_crash(self, held: HeldSegment) -> bool:
         """Return whether this node itself observed one of the crashes under a segment."""
--- a/packages/wrenloft-routing/tests/test_crash_ledger.py
+++ b/packages/wrenloft-routing/tests/test_crash_ledger.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wrenloft_core import ContentId, IncarnationId, read_clock
-from wrenloft_policy import Crash, CrashStatus
+from wrenloft_core import ContentId, IncarnationId, SegmentId, read_clock
+from wrenloft_policy import Crash, CrashStatus, Workload
 from wrenloft_routing import CrashLedger, CrashSource
 from wrenloft_routing._crash_ledger import (
     MAX_CONTENTS,
@@ -55,6 +55,20 @@
         assert (quarantine.count, quarantine.source) == (3, CrashSource.PEER)
         assert ledgers[1].find_quarantine(CONTENT) is None
 
+    def test_victims_of_a_quarantined_segment_are_not_held_back(self) -> None:
+        """Guards against refusing requests that were retried beside others with that segment."""
+        ledger = CrashLedger()
+        now = read_clock()
+        victim = Workload(CONTENT, frozenset({SegmentId("s")}))
+        for number, name in enumerate("abc"):
+            at = now - 3.0 + number
+            other = ContentId(f"other{number}")
+            cause = Workload(other, frozenset({SegmentId("s"), SegmentId("bad")}))
+            ledger.record(CONTENT, IncarnationId(name), Crash(at), CrashSource.OWN)
+            ledger.segments.record(IncarnationId(name), at, [victim, cause], CrashSource.OWN)
+        assert set(ledger.segments.list_held()) == {"bad"}
+        assert ledger.find_quarantine(CONTENT) is None
+
     def test_failure_reported_by_many_nodes_is_one_crash(self) -> None:
         """Nine nodes had the same poll in progress at one engine when it failed."""
         ledger = CrashLedger()
