Show the crashes behind a refusal in explain-request

Change: for a request that was refused for a quarantine, the command also prints the endpoint failures and the quarantine of its prompt segment or content, each once, whatever the number of nodes that logged them.

Result: three tests of its own pass.

--- a/packages/wrenloft/src/wrenloft/_cli.py
+++ b/packages/wrenloft/src/wrenloft/_cli.py
@@ -17,7 +17,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from wrenloft._explain import describe_event, find_request
+from wrenloft._explain import describe_event, find_crashes, find_request
 from wrenloft._node import run_node
 from wrenloft._seconds import count_seconds, describe_second
 from wrenloft._settings import NodeSettings
@@ -365,9 +365,15 @@
         lines = _read_logs(self)
         if lines is None:
             return EXIT_WRONG_INPUT
+        lines = list(lines)
         events = find_request(self.argument("id"), lines)
         for event in events:
             self.line(describe_event(event))
+        crashes = find_crashes(events, lines)
+        if crashes:
+            self.line("the crashes for which it was refused:")
+        for event in crashes:
+            self.line(describe_event(event))
         if not events:
             self.line_error(f"no line about request {self.argument('id')}")
         return EXIT_OK if events else EXIT_FAULT
--- a/packages/wrenloft/src/wrenloft/_explain.py
+++ b/packages/wrenloft/src/wrenloft/_explain.py
@@ -18,6 +18,41 @@
     return sorted(events, key=lambda each: float(each.get("time", 0.0)))
 
 
+def find_crashes(request: Iterable[dict[str, Any]], lines: Iterable[str]) -> list[dict[str, Any]]:
+    """Return the events of the crashes for which a request was refused, in order of time.
+
+    Of each endpoint and each quarantine the first event is returned; other nodes log the same.
+
+    :param request: events of the request.
+    :param lines: log lines as in :func:`find_request`.
+    """
+    refusals = [each for each in request if each.get("message") == "quarantined request refused"]
+    if not refusals:
+        return []
+    segments = {each["segment"] for each in refusals if each.get("segment")}
+    contents = {each.get("content") for each in refusals if not each.get("segment")}
+    found: dict[tuple[Any, Any], dict[str, Any]] = {}
+    for event in sorted(read_events(lines), key=lambda each: float(each.get("time", 0.0))):
+        if _concerns(event, segments, contents):
+            name = event.get("endpoint") or event.get("segment") or event.get("content")
+            found.setdefault((event["message"], name), event)
+    return list(found.values())
+
+
+def _concerns(event: dict[str, Any], segments: set[Any], contents: set[Any]) -> bool:
+    """Return whether an event is a crash or a quarantine of these segments or contents."""
+    message = event.get("message")
+    if message == "endpoint failed":
+        at_endpoint = {segment for each in event.get("segments", ()) for segment in each}
+        return bool(segments & at_endpoint or contents & set(event.get("contents", ())))
+    if message in ("segment quarantined", "segment quarantine ended"):
+        return event.get("segment") in segments
+    return (
+        message in ("content quarantined", "content quarantine ended")
+        and event.get("content") in contents
+    )
+
+
 def read_events(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
     """Return the events of log lines; what is none is passed over."""
     for line in lines:
--- a/packages/wrenloft/tests/test_explain.py
+++ b/packages/wrenloft/tests/test_explain.py
@@ -2,7 +2,7 @@
 
 import json
 
-from wrenloft._explain import describe_event, find_request
+from wrenloft._explain import describe_event, find_crashes, find_request
 
 
 def _line(time: float, request: str, message: str, **fields: object) -> str:
@@ -32,6 +32,36 @@
         assert find_request("r9", [_line(1.0, "r1", "attempt")]) == []
 
 
+class TestFindCrashes:
+    """Tests for ``find_crashes``."""
+
+    LINES = (
+        _line(1.0, "", "endpoint failed", endpoint="e1", segments=[["s", "bad"], []], contents=[]),
+        _line(1.1, "", "endpoint failed", endpoint="e1", segments=[["bad"]], contents=[]),
+        _line(2.0, "", "endpoint failed", endpoint="e2", segments=[["s"]], contents=["c"]),
+        _line(3.0, "", "segment quarantined", segment="bad", crashes=3),
+        _line(3.1, "", "segment quarantined", segment="bad", crashes=3),
+        _line(4.0, "r1", "quarantined request refused", content="x", segment="bad"),
+        _line(5.0, "r2", "quarantined request refused", content="c", segment=None),
+    )
+
+    def _find(self, request: str) -> list[tuple[str, str]]:
+        crashes = find_crashes(find_request(request, self.LINES), self.LINES)
+        return [(each["message"], each["time"]) for each in crashes]
+
+    def test_refusal_leads_to_the_crashes_of_its_segment(self) -> None:
+        """Each endpoint and the quarantine appear once, whatever the number of nodes."""
+        assert self._find("r1") == [("endpoint failed", "1.000"), ("segment quarantined", "3.000")]
+
+    def test_refusal_leads_to_the_crashes_of_its_content(self) -> None:
+        """A content is told from a segment."""
+        assert self._find("r2") == [("endpoint failed", "2.000")]
+
+    def test_other_requests_have_none(self) -> None:
+        """Nothing is shown for a request that was not refused."""
+        assert self._find("r9") == []
+
+
 class TestDescribeEvent:
     """Tests for ``describe_event``."""
 
