--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -42,6 +42,167 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "prompt segments at crashes that other nodes report count",
+        f"{ROUTING}/_segment_ledger.py",
+        "self.record(incarnation, at, reported.workloads, source, reported.evidence)",
+        "pass",
+        f"{ROUTING_TESTS}/test_segment_guard.py"
+        "::test_crashes_seen_by_different_nodes_count_together",
+    ),
+    Safeguard(
+        "a narrower prompt segment explains crashes of a broader one",
+        f"{POLICY}/_segment_crashes.py",
+        "if self.is_narrower(other):",
+        "if False:",
+        f"{POLICY_TESTS}/test_segment_crashes.py"
+        "::test_narrower_segment_is_held_in_place_of_a_broader_one",
+    ),
+    Safeguard(
+        "crashes at one moment quarantine no prompt segment",
+        f"{POLICY}/_segment_crashes.py",
+        "MOMENTS_TO_QUARANTINE = 2",
+        "MOMENTS_TO_QUARANTINE = 1",
+        f"{POLICY_TESTS}/test_segment_crashes.py" "::test_crashes_at_one_moment_hold_nothing",
+    ),
+    Safeguard(
+        "an answer after a crash clears its prompt segments",
+        f"{POLICY}/_segment_crashes.py",
+        "if evidence & _EXONERATING:",
+        "if False:",
+        f"{POLICY_TESTS}/test_segment_crashes.py" "::test_answers_after_a_crash_clear_a_segment",
+    ),
+    Safeguard(
+        "a prompt segment that was answered before needs more crashes",
+        f"{POLICY}/_segment_crashes.py",
+        "ANSWERED_CRASHES_TO_QUARANTINE = 5",
+        "ANSWERED_CRASHES_TO_QUARANTINE = 3",
+        f"{POLICY_TESTS}/test_segment_crashes.py" "::test_answers_before_need_more_crashes",
+    ),
+    Safeguard(
+        "such a segment is at most of the crashes around",
+        f"{POLICY}/_segment_crashes.py",
+        "ANSWERED_SHARE = 0.8",
+        "ANSWERED_SHARE = 0.0",
+        f"{POLICY_TESTS}/test_segment_crashes.py"
+        "::test_segment_missing_at_some_crashes_needs_more_of_them",
+    ),
+    Safeguard(
+        "such a segment has time to be answered",
+        f"{POLICY}/_segment_crashes.py",
+        "or now - times[0] < ANSWERED_DELAY_SECONDS",
+        "or False",
+        f"{POLICY_TESTS}/test_segment_crashes.py" "::test_answers_before_need_more_crashes",
+    ),
+    Safeguard(
+        "a segment at more crashes outweighs common ones",
+        f"{POLICY}/_segment_crashes.py",
+        "if suspect.crashes <= others and len(others) > len(presence):",
+        "if False:",
+        f"{ROUTING_TESTS}/test_segment_fleet.py"
+        "::test_segment_that_was_sound_before_is_quarantined[15.0-0]",
+    ),
+    Safeguard(
+        "a broader segment is quarantined once it crashes without the narrower one",
+        f"{POLICY}/_segment_crashes.py",
+        "needed = min(len(remaining), CRASHES_BEYOND_NARROWER)",
+        "needed = len(remaining)",
+        f"{POLICY_TESTS}/test_segment_crashes.py"
+        "::test_broader_segment_is_held_once_it_crashes_without_the_narrower_one",
+    ),
+    Safeguard(
+        "an answer to a request sent before a crash clears nothing",
+        f"{ROUTING}/_segment_ledger.py",
+        "if entry.crash.at <= sent_at:",
+        "if True:",
+        f"{ROUTING_TESTS}/test_segment_guard.py"
+        "::test_answer_to_a_request_sent_before_the_crash_clears_nothing",
+    ),
+    Safeguard(
+        "an answer counts once its endpoint has survived it",
+        f"{ROUTING}/_segment_guard.py",
+        "        self._take_back_answers(incarnation)\n",
+        "",
+        f"{ROUTING_TESTS}/test_segment_guard.py"
+        "::test_answer_that_ends_with_its_endpoint_counts_against_its_segments",
+    ),
+    Safeguard(
+        "requests without all that the crashes have in common are sent",
+        f"{ROUTING}/_segment_ledger.py",
+        "concerned = [each for each in concerned if each.concerns(workload)]",
+        "pass",
+        f"{ROUTING_TESTS}/test_segment_guard.py" "::test_restart_from_the_store_holds_the_same",
+    ),
+    Safeguard(
+        "crashes with prompt segments are bounded",
+        f"{ROUTING}/_segment_ledger.py",
+        "self._drop(self._pick_dropped())",
+        "pass",
+        f"{ROUTING_TESTS}/test_segment_guard.py" "::test_victims_do_not_push_out_the_cause",
+    ),
+    Safeguard(
+        "crashes under a quarantined segment are kept longest",
+        f"{ROUTING}/_segment_ledger.py",
+        "(each in needed, self._crashes[each].crash.at, each)",
+        "(self._crashes[each].crash.at, each)",
+        f"{ROUTING_TESTS}/test_segment_guard.py" "::test_victims_do_not_push_out_the_cause",
+    ),
+    Safeguard(
+        "a suspect gets no second try",
+        f"{ROUTING}/_forward.py",
+        "return self._guard.segments.is_suspect(progress.workload)",
+        "return False",
+        f"{ROUTING_TESTS}/test_forward.py"
+        "::TestCrashingSegments::test_suspect_gets_no_second_try",
+    ),
+    Safeguard(
+        "victims of a single crash are tried again",
+        f"{ROUTING}/_segment_ledger.py",
+        "CRASHES_TO_SUSPECT = 2",
+        "CRASHES_TO_SUSPECT = 1",
+        f"{ROUTING_TESTS}/test_forward.py"
+        "::TestCrashingSegments::test_request_of_a_first_crash_is_tried_again",
+    ),
+    Safeguard(
+        "a request that waits at an engine is cancelled with its quarantine",
+        f"{ROUTING}/_forward.py",
+        "timeout.reschedule(now)",
+        "pass",
+        f"{ROUTING_TESTS}/test_forward.py"
+        "::TestCrashingSegments::test_request_that_waits_at_an_engine_is_cancelled",
+    ),
+    Safeguard(
+        "the endpoint of an answer without length is checked",
+        f"{ROUTING}/_failure_detector.py",
+        "return await self._probe(state.endpoint.address) is Liveness.REFUSED",
+        "return False",
+        f"{ROUTING_TESTS}/test_forward.py"
+        "::TestAnswersWithoutLength::test_stream_that_ends_with_its_endpoint_is_resumed",
+    ),
+    Safeguard(
+        "quarantined segments outlive all processes",
+        f"{ADAPTER}/_entry.py",
+        "self._crashes.segments.merge(updates, CrashSource.STORE)",
+        "pass",
+        f"{ADAPTER_TESTS}/test_crashing_segment.py"
+        "::test_quarantined_segment_survives_restart_of_all_entry_nodes",
+    ),
+    Safeguard(
+        "crashes under a quarantined segment count against no content",
+        f"{ROUTING}/_crash_ledger.py",
+        "if not explained:",
+        "if True:",
+        f"{ROUTING_TESTS}/test_crash_ledger.py"
+        "::TestQuarantine::test_victims_of_a_quarantined_segment_are_not_held_back",
+    ),
+    Safeguard(
+        "callers without chunks get streams",
+        f"{ADAPTER}/_front.py",
+        "if self._request.version >= HttpVersion11:",
+        "if True:",
+        f"{ADAPTER_TESTS}/test_programs.py"
+        "::TestEntry::test_caller_without_chunks_gets_streams_that_end_with_the_connection",
+    ),
     Safeguard(
         "endpoints that refuse connections do not end a request",
         f"{ROUTING}/_forward.py",
@@ -399,7 +560,7 @@
     Safeguard(
         "adapter: an answer without length needs a clean end",
         f"{ADAPTER}/_runner.py",
-        "if not data and not self._framed:",
+        "if not data and not self.framed:",
         "if False:",
         f"{ADAPTER_TESTS}/test_runner.py::TestRunnerTransport"
         "::test_response_without_length_needs_a_clean_close",
@@ -762,8 +923,8 @@
     Safeguard(
         "a quarantine is stored by nodes that observed a crash",
         f"{ROUTING}/_crash_guard.py",
-        "if self._ledger.has_own_crash(content):",
-        "if False:",
+        "if self._ledger.has_own_crash(content):\n            self._store.keep",
+        "if False:\n            self._store.keep",
         f"{ROUTING_TESTS}/test_crash_guard.py::test_quarantine_is_stored_by_nodes_that_observed_a_crash",
     ),
     Safeguard(
@@ -791,7 +952,7 @@
     Safeguard(
         "a crash update stops a request that waits",
         f"{ROUTING}/_forward.py",
-        "if not progress.is_probe and self._guard.find_quarantine(progress.content) is not None:",
+        "if not progress.is_probe and self._guard.find_refusal(progress.workload) is not None:",
         "if False:",
         f"{ROUTING_TESTS}/test_forward.py::TestQuarantinedContent"
         "::test_crash_update_stops_a_waiting_repeat",
@@ -814,7 +975,7 @@
     Safeguard(
         "an endpoint that is leaving may end",
         f"{ROUTING}/_failure_detector.py",
-        "if state.leaving or not (listed or silent):",
+        "if state.leaving or not (listed or loss.silent):",
         "if False:",
         f"{ROUTING_TESTS}/test_failure_detector.py"
         "::test_end_of_a_leaving_endpoint_is_no_failure",
--- a/packages/wrenloft-policy/tests/test_segment_crashes.py
+++ b/packages/wrenloft-policy/tests/test_segment_crashes.py
@@ -81,8 +81,10 @@
 
 def test_answers_after_a_crash_clear_a_segment() -> None:
     """Guards against refusing a segment that is answered all the time."""
-    crashes = _crashes("bad a", "bad b", "bad c", bad=SegmentEvidence.ANSWERED_AFTER)
-    assert _hold(crashes) == set()
+    running = [f"bad {name}" for name in "abcdefgh"]
+    assert _hold(_crashes(*running)) == {"bad"}
+    assert _hold(_crashes(*running, bad=SegmentEvidence.ANSWERED_AFTER)) == set()
+    assert _hold(_crashes(*running, bad=SegmentEvidence.LIFTED)) == set()
 
 
 def test_answers_before_need_more_crashes() -> None:
