Determine quarantined segments once for changes that come together

A relay of a large zone merges some thirty messages for each crash.

Change: a message, or a whole answer, is one change.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
@@ -77,6 +77,7 @@
         self._probed_at: OrderedDict[SegmentId, float] = OrderedDict()
         self._quarantined: dict[SegmentId, HeldSegment] = {}
         ledger.on_change = self._update
+        ledger.on_settled = self.review
 
     def record_endpoint_failure(self, failure: EndpointFailure) -> None:
         """Record the failure of an endpoint while requests of this node ran there."""
@@ -166,7 +167,6 @@
         if self._ledger.get_quarantine(segment) is None:
             return False
         self._ledger.record_evidence(segment, SegmentEvidence.LIFTED)
-        self.review()
         return True
 
     def _update(self, incarnation: IncarnationId) -> None:
@@ -186,7 +186,6 @@
                 evidence[segment] = SegmentEvidence.ANSWERED_BEFORE
         if evidence:
             self._ledger.record(incarnation, crash.at, (), CrashSource.PEER, evidence)
-        self.review()
 
     def _take_back_answers(self, incarnation: IncarnationId) -> None:
         """Count whole answers of an endpoint that has just crashed as requests in progress."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
@@ -1,6 +1,7 @@
 """Crashes of endpoints with the prompt segments in progress, as known to all entry nodes."""
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 
 from prometheus_client import Counter, Gauge
@@ -99,6 +100,7 @@
 
     :param list_contents: returns the crashes of each content that may be quarantined itself.
     :param on_change: called with the incarnation of each crash that has changed.
+    :param on_settled: called once after any number of changes that came together.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         list_contents: Callable[[], Mapping[ContentId, Collection[IncarnationId]]],
     ) -> None:
         self.on_change: Callable[[IncarnationId], None] = lambda incarnation: None
+        self.on_settled: Callable[[], None] = lambda: None
         self.revision = 0
         self._list_contents = list_contents
         self._crashes: dict[IncarnationId, _Entry] = {}
@@ -113,11 +116,25 @@
         self._held: dict[SegmentId, HeldSegment] = {}
         self._reviewed_at = float("-inf")
         self._refused: dict[SegmentId, int] = {}
+        self._open_batches = 0
+        self._changed = False
         QUARANTINED_SEGMENTS.set_function(lambda: len(self.list_held()))
 
     def __len__(self) -> int:
         return len(self._crashes)
 
+    @contextmanager
+    def _batch(self) -> Iterator[None]:
+        """Report changes that come together once, as determining quarantines takes milliseconds."""
+        self._open_batches += 1
+        try:
+            yield
+        finally:
+            self._open_batches -= 1
+            if self._changed and not self._open_batches:
+                self._changed = False
+                self.on_settled()
+
     def record(
         self,
         incarnation: IncarnationId,
@@ -147,22 +164,25 @@
         self._crashes[incarnation] = known
         for segment in {segment for each in added for segment in each.segments}:
             self._incarnations.setdefault(segment, set()).add(incarnation)
-        self._record_change(incarnation, known)
+        with self._batch():
+            self._record_change(incarnation, known)
 
     def record_evidence(
         self, segment: SegmentId, evidence: SegmentEvidence, sent_at: float = float("inf")
     ) -> None:
         """Record evidence for a segment at all crashes up to a time."""
-        for incarnation in list(self._incarnations.get(segment, ())):
-            entry = self._crashes[incarnation]
-            if entry.crash.at <= sent_at:
-                at, source = entry.crash.at, entry.source
-                self.record(incarnation, at, (), source, {segment: evidence})
+        with self._batch():
+            for incarnation in list(self._incarnations.get(segment, ())):
+                entry = self._crashes[incarnation]
+                if entry.crash.at <= sent_at:
+                    at, source = entry.crash.at, entry.source
+                    self.record(incarnation, at, (), source, {segment: evidence})
 
     def _record_change(self, incarnation: IncarnationId, entry: _Entry) -> None:
         self.revision += 1
         entry.revision = self.revision
         self._reviewed_at = float("-inf")
+        self._changed = True
         if len(self._crashes) > MAX_CRASHES:
             self._drop(self._pick_dropped())
         if incarnation in self._crashes:
@@ -186,10 +206,11 @@
     def merge(self, updates: SegmentCrashUpdates, source: CrashSource) -> None:
         """Merge the updates of another node or of the store."""
         now = read_clock()
-        for incarnation, reported in updates.items():
-            if 0.0 <= reported.age < CRASH_TTL_SECONDS:
-                at = now - reported.age
-                self.record(incarnation, at, reported.workloads, source, reported.evidence)
+        with self._batch():
+            for incarnation, reported in updates.items():
+                if 0.0 <= reported.age < CRASH_TTL_SECONDS:
+                    at = now - reported.age
+                    self.record(incarnation, at, reported.workloads, source, reported.evidence)
 
     def list_changes(self, since: int) -> SegmentCrashUpdates:
         """Return the changes after a revision of this ledger, for publication."""
