Bound what is kept of a crash by an engine's slots

Cause: 64 crashes with 256 requests of 30 prompt segments each took 68 MB in a measurement, on nodes of 300 MB.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
@@ -19,11 +19,11 @@
 from wrenloft_routing._crash_source import CrashSource
 
 MAX_CRASHES = 64
-"""Crashes kept, about 2 MB with 64 workloads of three segments each. Those under a quarantined
-segment are dropped last."""
+"""Crashes kept, about 1 MB with 16 workloads of three segments each, some 20 MB at the most. Those
+under a quarantined segment are dropped last."""
 
-MAX_WORKLOADS = 256
-"""Workloads kept per crash: what all nodes together had in progress at one endpoint."""
+MAX_WORKLOADS = 64
+"""Workloads kept per crash, of all nodes together: four times an engine's slots."""
 
 CRASHES_TO_SUSPECT = 2
 """Crashes under a segment that was never answered from which its requests get no second try."""
