--- a/packages/wrenloft-routing/tests/segment_model.py
+++ b/packages/wrenloft-routing/tests/segment_model.py
@@ -1,6 +1,6 @@
 """A fleet in virtual time, whose engines crash on some prompt segments."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
@@ -158,8 +158,8 @@
         self.clock = clock
         self.random = Random(seed)
         self.ledgers = [CrashLedger() for _ in range(nodes)]
-        store = Store(clock)
-        self.guards = [CrashGuard(each, store) for each in self.ledgers]
+        self.store = Store(clock)
+        self.guards = [CrashGuard(each, self.store) for each in self.ledgers]
         self.engines = [Engine(number) for number in range(engines)]
         self.kinds = kinds
         self.crashes_on = crashes_on
@@ -168,12 +168,13 @@
         self.next_at = {each.name: clock.now + each.start for each in kinds}
         self.numbers: Iterator[int] = count()
         self.sent: list[Sent] = []
-        self.arrivals: list[tuple[float, Workload]] = []
+        self.arrivals: list[tuple[float, int, Workload]] = []
         self.crashed: list[tuple[float, frozenset[SegmentId]]] = []
         self.revisions: dict[tuple[int, int], tuple[int, int]] = {}
         self.exchanged_at = clock.now
         self.held: set[str] = set()
         self.frozen: set[int] = set()
+        self.cut_off: set[int] = set()
         self.lost: list[Loss] = []
         self.denied: list[tuple[float, Workload]] = []
 
@@ -228,7 +229,7 @@
             fewest = min(len(each.runs) for each in free)
             engine = self.random.choice([each for each in free if len(each.runs) == fewest])
             engine.runs.append(run)
-            self.arrivals.append((self.elapsed, run.workload))
+            self.arrivals.append((self.elapsed, run.node, run.workload))
 
     def _advance(self, engine: Engine) -> None:
         now = self.clock.now
@@ -292,8 +293,9 @@
         if self.clock.now - self.exchanged_at < LAG_SECONDS:
             return
         self.exchanged_at = self.clock.now
-        hub = self.random.randrange(len(self.ledgers))
-        live = [each for each in range(len(self.ledgers)) if each not in self.frozen]
+        away = self.frozen | self.cut_off
+        live = [each for each in range(len(self.ledgers)) if each not in away]
+        hub = self.random.choice(live)
         for source, target in [(n, hub) for n in live] + [(hub, n) for n in live]:
             if source != target:
                 self._send_updates(source, target)
@@ -310,9 +312,24 @@
         self.ledgers[target].merge(crashes, CrashSource.PEER)
         self.ledgers[target].segments.merge(segments, CrashSource.PEER)
 
-    def count_sent(self, segment: str, after: float) -> int:
-        """Return how many requests with a segment reached engines after a time."""
-        return sum(at > after and segment in each.segments for at, each in self.arrivals)
+    def restart(self, *nodes: int) -> None:
+        """Let nodes forget everything."""
+        for node in nodes:
+            self.ledgers[node] = CrashLedger()
+            self.guards[node] = CrashGuard(self.ledgers[node], self.store)
+        self.revisions = {
+            pair: at for pair, at in self.revisions.items() if not set(pair) & {*nodes}
+        }
+
+    def count_sent(self, segment: str, after: float, nodes: Collection[int] | None = None) -> int:
+        """Return how many requests with a segment reached engines after a time.
+
+        :param nodes: those that sent them, all if ``None``.
+        """
+        return sum(
+            at > after and segment in each.segments and (nodes is None or node in nodes)
+            for at, node, each in self.arrivals
+        )
 
     def find_bound(self, segment: str, crashes: int = 5, settle: float = 3.0) -> float:
         """Return when a bound begins that counts from some crash under a segment."""
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -812,6 +812,25 @@
         assert isinstance(outcome, Unknown)
         assert len(harness.attempts) == 1
 
+    @pytest.mark.parametrize("crashed", ["a0:1", "a1:1"])
+    async def test_engine_of_a_chain_is_told_from_the_others(self, crashed: str) -> None:
+        """Guards against blaming no engine of a chain, or all of them, for the crash of one."""
+
+        async def probe(address: str) -> Liveness:
+            return Liveness.REFUSED if address == crashed else Liveness.REACHABLE
+
+        harness = Harness(Lost("reset"))
+        harness.forwarder._detector._probe = probe
+        harness.set_spans({0: LayerSpan(0, 8), 1: LayerSpan(8, 16), 2: LayerSpan(0, 0)})
+        await harness.send("fixed", segments=self.SEGMENTS)
+        await asyncio.sleep(0.01)
+        (incarnation,) = harness.crashes.segments.list_changes(0)
+        assert len(harness.attempts[0].chain) > 1
+        assert any(
+            each.endpoint.incarnation == incarnation
+            for each in harness.endpoints.find_by_address(crashed)
+        )
+
     async def test_lost_connection_makes_no_suspect(self) -> None:
         """Guards against giving up requests of which only the connection broke."""
         harness = Harness(Lost("reset"), FakeReply([_events(0)], is_stream=True))
--- a/packages/wrenloft-routing/tests/test_segment_fleet.py
+++ b/packages/wrenloft-routing/tests/test_segment_fleet.py
@@ -222,3 +222,42 @@
     model.frozen = set()
     model.run(OBSERVED_SECONDS)
     check(model, "bad")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nodes_of_a_large_fleet_agree_in_time(clock: Clock, seed: int) -> None:
+    """Guards against a bound that grows with the number of nodes."""
+    kinds = [SOUND, Kind("bad", add_segments("bad"), 15.0, start=5.0)]
+    model = Model(clock, 98, kinds, crash_on("bad"), seed=seed, engines=40)
+    model.run(20.0)
+    check(model, "bad")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_zone_that_is_cut_off_sends_only_until_it_is_connected(clock: Clock, seed: int) -> None:
+    """Guards against crashes that connected nodes miss, or nodes that miss them for good."""
+    kinds = [SOUND, Kind("bad", add_segments("bad"), 4.0, start=5.0)]
+    model = Model(clock, 9, kinds, crash_on("bad"), seed=seed)
+    model.run(4.0)
+    model.cut_off = {6, 7, 8}
+    model.run(20.0)
+    bound = model.find_bound("bad")
+    assert model.count_sent("bad", bound, nodes=range(6)) <= MAX_SENT_AFTERWARDS
+    model.cut_off = set()
+    connected_at = model.elapsed
+    model.run(20.0)
+    assert model.count_sent("bad", connected_at + 3.0) <= MAX_SENT_AFTERWARDS
+    assert model.measure_served("sound", connected_at + 6.0) >= SERVED_SHARE
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_restarted_nodes_learn_of_a_quarantine(clock: Clock, seed: int) -> None:
+    """Guards against nodes, a relay among them, that start anew and know of no crash."""
+    kinds = [SOUND, Kind("bad", add_segments("bad"), 4.0, start=5.0)]
+    model = Model(clock, 9, kinds, crash_on("bad"), seed=seed)
+    model.run(15.0)
+    for first in range(0, 9, 3):
+        model.restart(first, first + 1, first + 2)
+        model.run(4.0)
+    model.run(10.0)
+    check(model, "bad")
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -215,6 +215,18 @@
         writer.close()
         return answer
 
+    async def test_prompt_of_many_segments_is_served(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a long header that fails its request or is changed on the way."""
+        value = ",".join(f"{n:08x}:100" for n in range(1100))
+        headers = {**KEY, "X-Prompt-Prefix": value}
+        async with asyncio.timeout(10):
+            while (answer := await entry.send("/once/x", headers=headers, data=b"b"))[0] == 503:
+                await asyncio.sleep(0.1)
+        assert answer == (200, b"ok")
+        assert endpoint.received[-1].headers["x-prompt-prefix"] == value
+
     async def test_revoked_key_is_refused(self, entry: Entry, store: StandinStore) -> None:
         """A configuration without a key takes effect soon after the store has it."""
         changed = {**CONFIGURATION, "version": 9, "tenants": [{"name": "org1", "apiKeys": ["k2"]}]}
