Probe segments that were answered before fourfold more seldom

Change: the wait grows fourfold with each crash. Log lines of a failed endpoint name at most eight segments of a request, and evidence no longer changes the source of a crash in listings.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
@@ -64,8 +64,12 @@
 crashes as it ends an answer refuses connections within some milliseconds."""
 
 ANSWERED_PROBE_INTERVAL_SECONDS = 5.0
-"""Time from the latest crash to a probe of a segment that had whole answers before; doubled by each
-crash beyond those that quarantine it."""
+"""Time from the latest crash to a probe of a segment that had whole answers before, which was more
+likely a victim."""
+
+ANSWERED_PROBE_GROWTH = 4.0
+"""Factor for each crash beyond those that quarantine such a segment. With the usual factor of two,
+a segment that crashes engines would cost four of them in the first 75 s."""
 
 
 class SegmentEvidence(IntFlag):
@@ -341,9 +345,11 @@
     :param probe_at: time of the last probe known to this node.
     """
     last = max(probe_at, *held.crash_times)
-    first, needed = PROBE_INTERVAL_SECONDS, CRASHES_TO_QUARANTINE
     if held.answered:
-        first, needed = ANSWERED_PROBE_INTERVAL_SECONDS, ANSWERED_CRASHES_TO_QUARANTINE
+        first, growth = ANSWERED_PROBE_INTERVAL_SECONDS, ANSWERED_PROBE_GROWTH
+        needed = ANSWERED_CRASHES_TO_QUARANTINE
+    else:
+        first, growth, needed = PROBE_INTERVAL_SECONDS, 2.0, CRASHES_TO_QUARANTINE
     extra_crashes = max(0, len(held.crash_times) - needed)
-    interval = min(MAX_PROBE_INTERVAL_SECONDS, first * 2.0**extra_crashes)
+    interval = min(MAX_PROBE_INTERVAL_SECONDS, first * growth**extra_crashes)
     return max(0.0, last + interval - now)
--- a/packages/wrenloft-policy/tests/test_segment_crashes.py
+++ b/packages/wrenloft-policy/tests/test_segment_crashes.py
@@ -147,4 +147,4 @@
         delays = [measure(number, answered=answered) for number in range(first, 10)]
         assert all(later >= earlier for earlier, later in pairwise(delays))
     assert measure(3, answered=False) == 60.0
-    assert measure(5, answered=True) == 5.0
+    assert [measure(number, answered=True) for number in (5, 6, 7)] == [5.0, 20.0, 80.0]
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -27,6 +27,9 @@
 MAX_LOGGED_WORKLOADS = 32
 """Workloads named in the log line of a failure: twice an engine's slots."""
 
+MAX_LOGGED_SEGMENTS = 8
+"""Prompt segments named for each of these; prompts usually have up to three."""
+
 ENDPOINT_FAILURES = Counter(
     "wrenloft_endpoint_failures", "Endpoints found to have crashed", ["sign"]
 )
@@ -280,7 +283,10 @@
             sign=losses.sign.value,
             lost_ms_ago=round((read_clock() - losses.failed_at) * 1000),
             contents=sorted(contents),
-            segments=[sorted(each.segments) for each in workloads][:MAX_LOGGED_WORKLOADS],
+            segments=[
+                sorted(each.segments)[:MAX_LOGGED_SEGMENTS]
+                for each in list(workloads)[:MAX_LOGGED_WORKLOADS]
+            ],
         )
         at = losses.failed_at
         if losses.sign is not FailureSign.REFUSED:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -7,6 +7,7 @@
 from wrenloft_core import Outcome, note, read_clock
 from wrenloft_policy import Coldness
 from wrenloft_routing._exchange import CallerRequest
+from wrenloft_routing._failure_detector import MAX_LOGGED_SEGMENTS
 from wrenloft_routing._gate import Placed
 from wrenloft_routing._request_progress import RequestProgress
 
@@ -15,9 +16,6 @@
 RATE_WINDOW_SECONDS = 4.0
 """Window of the count of requests sent to the endpoint, in log lines."""
 
-MAX_LOGGED_SEGMENTS = 8
-"""Prompt segments named in a log line; prompts usually have up to three."""
-
 REQUESTS = Counter("wrenloft_routing_requests", "Requests by outcome", ["kind", "outcome"])
 REQUEST_SECONDS = Histogram(
     "wrenloft_routing_request_seconds",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
@@ -160,7 +160,8 @@
             return
         workloads = known.crash.workloads | added
         known.crash = replace(known.crash, workloads=workloads, evidence=joined)
-        known.source = CrashSource.OWN if known.source is CrashSource.OWN else source
+        if added and known.source is not CrashSource.OWN:
+            known.source = source
         self._crashes[incarnation] = known
         for segment in {segment for each in added for segment in each.segments}:
             self._incarnations.setdefault(segment, set()).add(incarnation)
