Tests of segments without the store, with a suspended node and a lost rack

Three entry nodes as processes: crashes spread while the store refuses calls and a node that may relay is dead; a node that was suspended sends at most three requests once it resumes; four of six endpoints that lose power at once hold back nothing. Callers keep their connection behind answers without a length. All pass on the code as it is.

--- a/tests/platform/test_crashing_segment.py
+++ b/tests/platform/test_crashing_segment.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import signal
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -14,7 +15,7 @@
 
 import pytest
 
-from .conftest import CrashSign, StandinStore, full_response
+from .conftest import CrashSign, StandinStore, full_response, stream_response
 from .test_crashing_content import ENTRY_COUNT, Fleet, run_command, start_fleet
 
 SEED = 7
@@ -200,3 +201,55 @@
         while not callers.crashing or callers.crashing[-1][0] != 200:
             await callers.send_crashing()
             await asyncio.sleep(0.1)
+
+
+async def test_crashes_spread_without_the_store_and_a_relay(callers: SegmentCallers) -> None:
+    """Guards against updates that need the store, or a node that may relay for others."""
+    fleet = callers.fleet
+    fleet.store.refuse = True
+    fleet.entries[0].process.kill()
+    fleet.entries = fleet.entries[1:]
+    bound = await callers.run()
+    assert fleet.count_sent(bound) <= MAX_SENT_AFTERWARDS
+
+
+async def test_suspended_node_sends_only_until_it_is_updated(callers: SegmentCallers) -> None:
+    """Guards against a node that resumes and crashes endpoints by what it missed."""
+    fleet = callers.fleet
+    suspended = fleet.entries[1]
+    fleet.entries = [fleet.entries[0], fleet.entries[2]]
+    suspended.process.send_signal(signal.SIGSTOP)
+    try:
+        await callers.run()
+    finally:
+        suspended.process.send_signal(signal.SIGCONT)
+    fleet.entries = [suspended]
+    await asyncio.sleep(SETTLE_SECONDS)
+    before = fleet.count_sent(0.0)
+    callers.crashing.clear()
+    for _ in range(20):
+        await callers.send_crashing()
+        await asyncio.sleep(0.1)
+    assert fleet.count_sent(0.0) - before <= MAX_SENT_AFTERWARDS
+    assert {status for status, _, _ in callers.crashing[-5:]} == {503}
+
+
+async def test_power_loss_of_a_rack_holds_back_nothing(callers: SegmentCallers) -> None:
+    """Guards against blaming common segments for endpoints that fail at the same moment."""
+    fleet = callers.fleet
+    for each in fleet.endpoints:
+        each.answers = [stream_response(b"id: 0\n\n", b"id: 1\n\n", b"id: 2\n\n")] * 1000
+        each.pause = 0.05
+    outages = []
+    for turn in range(120):
+        callers.start(callers.send_sound())
+        callers.start(callers.send_sound())
+        await asyncio.sleep(0.05)
+        if turn == 40:
+            outages = [asyncio.create_task(each.lose_power()) for each in fleet.endpoints[:4]]
+    await asyncio.gather(*callers.tasks, *outages)
+    node = fleet.entries[1].settings
+    address = f"{node['ip']}:{node['internal_port']}"
+    assert await run_command("held", "list", "--node", address) == (0, "nothing is held back")
+    statuses = [status for _, status in callers.sound[-60:]]
+    assert set(statuses) == {200}
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -12,7 +12,7 @@
 
 import pytest
 import tomli_w
-from aiohttp import ClientError, ClientSession
+from aiohttp import ClientError, ClientSession, TCPConnector
 
 from .conftest import (
     LOOPBACK,
@@ -215,6 +215,30 @@
         writer.close()
         return answer
 
+    async def test_answers_without_length_keep_the_callers_connection(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against closing callers' connections where endpoints close theirs."""
+        body = full_response(b"whole").replace(b"Content-Length: 5\r\n", b"")
+        endpoint.answers = [open_stream_response(b"id: 0\n\n", b"id: 1\n\n"), body, body]
+        async with asyncio.timeout(10):
+            while (await entry.send("/once/x", headers=KEY))[0] == 503:
+                await asyncio.sleep(0.1)
+        connector = TCPConnector(limit=1)
+        endpoint.answers = [open_stream_response(b"id: 0\n\n", b"id: 1\n\n"), body, body]
+        ports = set()
+        async with ClientSession(connector=connector) as client:
+            kept = Entry(entry.process, entry.settings, client)
+            for path, expected in (
+                ("/stream/x", b"id: 0\n\nid: 1\n\n"),
+                ("/once/x", b"whole"),
+                ("/once/x", b"whole"),
+            ):
+                assert await kept.send(path, headers=KEY) == (200, expected)
+                (pooled,) = connector._conns.values()
+                ports.add(pooled[0][0].transport.get_extra_info("sockname"))
+        assert len(ports) == 1
+
     async def test_prompt_of_many_segments_is_served(
         self, entry: Entry, endpoint: StandinEndpoint
     ) -> None:
