--- a/packages/wrenloft-routing/tests/test_segment_fleet.py
+++ b/packages/wrenloft-routing/tests/test_segment_fleet.py
@@ -261,3 +261,32 @@
         model.run(4.0)
     model.run(10.0)
     check(model, "bad")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_segment_that_comes_every_twenty_seconds_is_quarantined(clock: Clock, seed: int) -> None:
+    """Guards against crashes that are forgotten before the next one."""
+    kinds = [SOUND, Kind("bad", add_segments("bad"), 0.05, start=5.0)]
+    model = Model(clock, 9, kinds, crash_on("bad"), seed=seed)
+    model.run(200.0)
+    assert len(model.crashed) <= 4
+    check(model, "bad")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_segment_of_several_routes_is_quarantined_at_all(clock: Clock, seed: int) -> None:
+    """Guards against a segment that has to crash engines anew on each route."""
+
+    def make(random: Random) -> set[str]:
+        return {"other", f"caller{random.randrange(10)}", "bad"}
+
+    kinds = [
+        SOUND,
+        Kind("other", lambda random: make(random) - {"bad"}, 10.0),
+        Kind("bad", add_segments("bad"), 2.0, start=5.0),
+        Kind("bad elsewhere", make, 2.0, start=5.0),
+    ]
+    model = Model(clock, 9, kinds, crash_on("bad"), seed=seed)
+    model.run(OBSERVED_SECONDS)
+    check(model, "bad")
+    check(model, "bad", kind="other")
