--- a/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
@@ -233,36 +233,30 @@
     }
 
 
-def _find_companions(segment: SegmentId, crashes: Iterable[SegmentCrash]) -> frozenset[str]:
-    """Return what all requests with a segment had in common."""
-    common: set[str] | None = None
-    for crash in crashes:
-        for workload in crash.workloads:
-            if segment not in workload.segments:
-                continue
-            names = {*workload.segments, workload.content}
-            common = names if common is None else common & names
-    return frozenset(common or ())
-
-
 def _describe_contents(
     crashes: SegmentCrashes, contents: Mapping[ContentId, Collection[IncarnationId]]
 ) -> list[_Suspect]:
-    described = []
-    for content, keys in contents.items():
-        segments = [
-            workload.segments
-            for crash in crashes.values()
-            for workload in crash.workloads
-            if workload.content == content
-        ]
-        common: frozenset[str] = frozenset[SegmentId].intersection(*segments) if segments else _NONE
-        companions = common | {content}
-        described.append(_Suspect(content, frozenset(keys), companions, False, is_content=True))
-    return described
+    return [
+        _Suspect(
+            content,
+            frozenset(keys),
+            _find_companions(content, crashes.values()) | {content},
+            answered=False,
+            is_content=True,
+        )
+        for content, keys in contents.items()
+    ]
 
 
-_NONE: frozenset[SegmentId] = frozenset()
+def _find_companions(name: str, crashes: Iterable[SegmentCrash]) -> frozenset[str]:
+    """Return what all requests with a segment, or of a content, had in common."""
+    common: set[str] | None = None
+    for crash in crashes:
+        for workload in crash.workloads:
+            names = {*workload.segments, workload.content}
+            if name in names:
+                common = names if common is None else common & names
+    return frozenset(common or ())
 
 
 def _is_held(
@@ -308,16 +302,15 @@
         if times[0] - AROUND_SECONDS <= crash.at <= times[-1] + AROUND_SECONDS
     ]
     absent = sum(suspect.name not in crash.list_segments() for crash in around)
+    share = len(times) / (len(times) + absent)
     if len(times) < ANSWERED_CRASHES_TO_QUARANTINE:
         moments = count_moments(crash.at for crash in around)
         few = len(around) < CRASHES_AROUND_WITHOUT_EXCEPTION or moments < MOMENTS_TO_QUARANTINE
         return not absent and not few
     if count_moments(times) < MOMENTS_TO_QUARANTINE:
         return False
-    return len(times) >= ANSWERED_SHARE * (len(times) + absent) or (
-        len(times) >= ANSWERED_CRASHES_OF_ANY_SHARE
-        and times[-1] - times[0] >= ANSWERED_SPAN_SECONDS
-    )
+    lasting = times[-1] - times[0] >= ANSWERED_SPAN_SECONDS
+    return share >= ANSWERED_SHARE or (lasting and len(times) >= ANSWERED_CRASHES_OF_ANY_SHARE)
 
 
 def _is_outweighed(suspect: _Suspect, held: Iterable[_Suspect], crashes: SegmentCrashes) -> bool:
