--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -239,6 +239,17 @@
                 ports.add(pooled[0][0].transport.get_extra_info("sockname"))
         assert len(ports) == 1
 
+    async def test_endless_caller_timeout_is_served(
+        self, entry: Entry, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a number beyond any float that fails its request."""
+        headers = {**KEY, "X-Deadline-Ms": "1" * 400}
+        async with asyncio.timeout(10):
+            while (answer := await entry.send("/once/x", headers=headers))[0] == 503:
+                await asyncio.sleep(0.1)
+        assert answer == (200, b"ok")
+        assert 0 < int(endpoint.received[-1].headers["x-deadline-ms"]) <= 3000
+
     async def test_prompt_of_many_segments_is_served(
         self, entry: Entry, endpoint: StandinEndpoint
     ) -> None:
