--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -930,7 +930,7 @@
     Safeguard(
         "one probe at a time at a node",
         f"{ROUTING}/_crash_guard.py",
-        "self._probed_at[content] = read_clock()",
+        "self._probe_times.record(content, read_clock())",
         "pass",
         f"{ROUTING_TESTS}/test_crash_guard.py::test_one_probe_a_minute_across_the_fleet",
     ),
--- a/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
@@ -34,7 +34,8 @@
 CRASHES_AROUND_WITHOUT_EXCEPTION = 8
 """Crashes around, all with such a segment in progress, that quarantine it once three count against
 it. A segment in common use that begins to crash engines is still being answered at the first of
-them, which do not count, and few engines are left for further ones."""
+them, which do not count, and few engines are left for further ones. Fewer crashes may be a single
+outage of a small service."""
 
 AROUND_SECONDS = 2.0
 """How long before the first and after the last crash of a segment others count for that share."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_crash_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_crash_guard.py
@@ -17,6 +17,7 @@
 from wrenloft_routing._crash_ledger import CrashLedger, Quarantine, ReportedCrash
 from wrenloft_routing._crash_source import CrashSource
 from wrenloft_routing._failure_detector import EndpointFailure
+from wrenloft_routing._probe_times import ProbeTimes
 from wrenloft_routing._segment_guard import SegmentGuard, SegmentStore
 from wrenloft_routing._segment_ledger import SegmentQuarantine
 
@@ -26,9 +27,6 @@
 """Contents whose last whole answer is remembered, about 0.4 MB: those of 10 s at 200 requests per
 second. The oldest are dropped first, as they are the next to expire as evidence."""
 
-MAX_PROBES = 256
-"""Contents whose last probe is remembered; more are not quarantined at once."""
-
 
 class QuarantineStore(SegmentStore, Protocol):
     """Persistent quarantines, and fleet-wide claims of probes."""
@@ -56,7 +54,7 @@
         self._ledger = ledger
         self._store = store
         self._succeeded_at: OrderedDict[ContentId, float] = OrderedDict()
-        self._probed_at: OrderedDict[ContentId, float] = OrderedDict()
+        self._probe_times = ProbeTimes()
         self._quarantined: set[ContentId] = set()
         self.segments = SegmentGuard(ledger.segments, store)
         ledger.on_change = self._update
@@ -124,7 +122,7 @@
         """Return the seconds until a request is next let through as a probe."""
         if isinstance(quarantine, SegmentQuarantine):
             return self.segments.measure_retry_after(quarantine)
-        last_probe_at = self._probed_at.get(quarantine.content, float("-inf"))
+        last_probe_at = self._probe_times.get(quarantine.content)
         return compute_probe_delay(quarantine.crash_times, last_probe_at, read_clock())
 
     async def claim_probe(self, quarantine: AnyQuarantine) -> bool:
@@ -139,10 +137,7 @@
         content = quarantine.content
         if self.measure_retry_after(quarantine) > 0.0:
             return False
-        self._probed_at[content] = read_clock()
-        self._probed_at.move_to_end(content)
-        if len(self._probed_at) > MAX_PROBES:
-            self._probed_at.popitem(last=False)
+        self._probe_times.record(content, read_clock())
         claimed = await self._store.claim(content, PROBE_INTERVAL_SECONDS)
         note(_LOG, "probe of quarantined content", content=content, claimed=claimed)
         return claimed
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -47,20 +47,23 @@
 class EndpointFailure:
     """An endpoint that ended while requests ran there.
 
-    :param contents: of the requests of this node whose answers were lost with it.
     :param at: time of the first loss; where it was noticed by a timeout, the time at which this
         node last heard of the endpoint.
-    :param workloads: the same requests with their prompt segments.
+    :param workloads: of the requests of this node whose answers were lost with it.
     :param answering: segments of requests that it had been answering for some time.
     """
 
     incarnation: IncarnationId
-    contents: frozenset[ContentId]
+    workloads: frozenset[Workload]
     sign: FailureSign
     at: float
-    workloads: frozenset[Workload] = frozenset()
     answering: frozenset[SegmentId] = frozenset()
 
+    @property
+    def contents(self) -> frozenset[ContentId]:
+        """Contents of these requests."""
+        return frozenset(each.content for each in self.workloads)
+
 
 @dataclass(frozen=True, slots=True)
 class _Loss:
@@ -133,12 +136,11 @@
     def track_request(
         self,
         states: Iterable[EndpointState],
-        content: ContentId,
-        segments: frozenset[SegmentId] = frozenset(),
+        workload: Workload,
     ) -> Iterator[RunningRequest]:
         """Track a request in progress at endpoints."""
         now = read_clock()
-        request = RunningRequest(Workload(content, segments), now, now)
+        request = RunningRequest(workload, now, now)
         incarnations = [each.endpoint.incarnation for each in states]
         for incarnation in incarnations:
             self._running.setdefault(incarnation, []).append(request)
@@ -157,26 +159,13 @@
         next connection to the endpoint detects it sooner, and repeats are quarantined sooner.
         """
         for request in list(self._running.get(state.endpoint.incarnation, ())):
-            self.record_request_loss(state, request, silent=True)
+            self.record_loss(state, request, silent=True)
 
-    def record_request_loss(
-        self, state: EndpointState, request: RunningRequest, *, silent: bool
-    ) -> None:
+    def record_loss(self, state: EndpointState, request: RunningRequest, *, silent: bool) -> None:
         """Record that the answer to a tracked request was lost at an endpoint."""
         loss = _Loss(read_clock(), silent, request.heard_at, request.is_answering)
         self._record_loss(state, request.workload, request.sent_at, loss)
 
-    def record_loss(
-        self, state: EndpointState, content: ContentId, sent_at: float, *, silent: bool
-    ) -> None:
-        """Record that the answer to a request without prompt segments was lost at an endpoint.
-
-        :param silent: whether it was noticed by a timeout, and so perhaps long after the failure.
-        """
-        now = read_clock()
-        loss = _Loss(now, silent, heard_at=now, answering=False)
-        self._record_loss(state, Workload(content, frozenset()), sent_at, loss)
-
     def _record_loss(
         self, state: EndpointState, workload: Workload, sent_at: float, loss: _Loss
     ) -> None:
@@ -274,7 +263,7 @@
     def _report(self, losses: _EndpointLosses, workloads: frozenset[Workload]) -> None:
         assert losses.sign is not None
         endpoint = losses.endpoint
-        contents = frozenset(each.content for each in workloads)
+        contents = {each.content for each in workloads}
         note(
             _LOG,
             "endpoint failed",
@@ -298,9 +287,7 @@
             for segment in each.segments
         }
         self._on_failure(
-            EndpointFailure(
-                endpoint.incarnation, contents, losses.sign, at, workloads, frozenset(answering)
-            )
+            EndpointFailure(endpoint.incarnation, workloads, losses.sign, at, frozenset(answering))
         )
 
     async def close(self) -> None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -289,9 +289,7 @@
         coldness = self._endpoints.find_coldness(state)
         log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness)
         try:
-            with self._detector.track_request(
-                placed.states, progress.content, progress.workload.segments
-            ) as progress.running:
+            with self._detector.track_request(placed.states, progress.workload) as progress.running:
                 started = progress.running.sent_at
                 result = await self._open_within(progress, placed)
                 if not isinstance(result, NotSent | Rejected | Lost):
@@ -354,11 +352,11 @@
         elif isinstance(result, Rejected):
             for each in at_fault:
                 if each is not placed.state:
-                    self._detector.record_request_loss(each, progress.running, silent=True)
+                    self._detector.record_loss(each, progress.running, silent=True)
 
     def _record_loss(self, progress: RequestProgress, placed: Placed, *, silent: bool) -> None:
         for state in placed.states:
-            self._detector.record_request_loss(state, progress.running, silent=silent)
+            self._detector.record_loss(state, progress.running, silent=silent)
 
     def _record_answer(self, progress: RequestProgress, placed: Placed, status: int) -> None:
         incarnations = [each.endpoint.incarnation for each in placed.states]
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
@@ -18,6 +18,7 @@
 )
 from wrenloft_routing._crash_source import CrashSource
 from wrenloft_routing._failure_detector import EndpointFailure
+from wrenloft_routing._probe_times import ProbeTimes
 from wrenloft_routing._segment_ledger import SegmentCrashUpdates, SegmentLedger, SegmentQuarantine
 
 _LOG = logging.getLogger(__name__)
@@ -25,9 +26,6 @@
 MAX_ANSWERED = 4096
 """Segments whose last whole answer is remembered, about 1 MB; the oldest are dropped first."""
 
-MAX_PROBES = 256
-"""Segments whose last probe is remembered; more are not quarantined at once."""
-
 
 class SegmentStore(Protocol):
     """Persistent quarantines of segments, and fleet-wide claims of probes."""
@@ -74,7 +72,7 @@
         self._store = store
         self._answers: OrderedDict[SegmentId, _Answer] = OrderedDict()
         self._recent: deque[_RecentAnswer] = deque()
-        self._probed_at: OrderedDict[SegmentId, float] = OrderedDict()
+        self._probe_times = ProbeTimes()
         self._quarantined: dict[SegmentId, HeldSegment] = {}
         ledger.on_change = self._update
         ledger.on_settled = self.review
@@ -142,7 +140,7 @@
 
     def measure_retry_after(self, quarantine: SegmentQuarantine) -> float:
         """Return the seconds until a request is next let through as a probe."""
-        probed_at = self._probed_at.get(quarantine.segment, float("-inf"))
+        probed_at = self._probe_times.get(quarantine.segment)
         return compute_segment_probe_delay(quarantine.held, probed_at, read_clock())
 
     async def claim_probe(self, quarantine: SegmentQuarantine) -> bool:
@@ -154,10 +152,7 @@
         segment = quarantine.segment
         if self.measure_retry_after(quarantine) > 0.0:
             return False
-        self._probed_at[segment] = read_clock()
-        self._probed_at.move_to_end(segment)
-        if len(self._probed_at) > MAX_PROBES:
-            self._probed_at.popitem(last=False)
+        self._probe_times.record(segment, read_clock())
         claimed = await self._store.claim_segment(segment, PROBE_INTERVAL_SECONDS)
         note(_LOG, "probe of quarantined segment", segment=segment, claimed=claimed)
         return claimed
--- a/packages/wrenloft-routing/tests/segment_model.py
+++ b/packages/wrenloft-routing/tests/segment_model.py
@@ -272,10 +272,9 @@
                 if at - each.writes_at >= ANSWERING_SECONDS
                 for segment in each.workload.segments
             )
-            contents = frozenset(each.content for each in workloads)
             sign = FailureSign.SILENT if self.silent else FailureSign.REFUSED
             self.guards[node].record_endpoint_failure(
-                EndpointFailure(loss.incarnation, contents, sign, at, workloads, answering)
+                EndpointFailure(loss.incarnation, workloads, sign, at, answering)
             )
             for each in runs:
                 if each.attempts > 1 and self._may_retry(node, each.workload):
--- a/packages/wrenloft-routing/tests/test_crash_guard.py
+++ b/packages/wrenloft-routing/tests/test_crash_guard.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from wrenloft_core import ContentId, IncarnationId, read_clock
-from wrenloft_policy import PROBE_INTERVAL_SECONDS, Crash
+from wrenloft_policy import PROBE_INTERVAL_SECONDS, Crash, Workload
 from wrenloft_routing import (
     CrashGuard,
     CrashLedger,
@@ -46,7 +46,7 @@
     def fail_endpoints(self, *names: str, contents: str = "c", age: float = 0.0) -> None:
         """Let endpoints fail with requests of this node in progress."""
         for name in names:
-            running = frozenset(ContentId(each) for each in contents)
+            running = frozenset(Workload(ContentId(each), frozenset()) for each in contents)
             at = read_clock() - age
             self.guard.record_endpoint_failure(
                 EndpointFailure(IncarnationId(name), running, FailureSign.REFUSED, at)
--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from wrenloft_core import AgentId, ContentId, PlaceName, RegionName, ServiceName
+from wrenloft_core import AgentId, ContentId, PlaceName, RegionName, ServiceName, read_clock
+from wrenloft_policy import Workload
 from wrenloft_routing import (
     Endpoint,
     EndpointFailure,
@@ -15,6 +16,7 @@
     Liveness,
     probe_address,
 )
+from wrenloft_routing._failure_detector import RunningRequest
 
 ENDPOINT = Endpoint(
     AgentId("e"), ServiceName("s"), "127.0.0.1:1", PlaceName("p"), RegionName("r"), 4, born=5
@@ -22,6 +24,11 @@
 CONTENT = ContentId("c")
 
 
+def _make_request(content: str, sent_at: float) -> RunningRequest:
+    workload = Workload(ContentId(content), frozenset())
+    return RunningRequest(workload, sent_at, heard_at=read_clock())
+
+
 class DetectorHarness:
     """A detector of one endpoint whose address answers as a test says."""
 
@@ -44,7 +51,8 @@
         state = self.endpoints.get(ENDPOINT.agent_id)
         assert state is not None
         for content in contents:
-            self.detector.record_loss(state, ContentId(content), sent_at, silent=silent)
+            request = _make_request(content, sent_at)
+            self.detector.record_loss(state, request, silent=silent)
         await asyncio.sleep(0)
         await asyncio.sleep(0)
 
@@ -88,7 +96,7 @@
     state = harness.endpoints.get(ENDPOINT.agent_id)
     assert state is not None
     harness.endpoints.update([replace(ENDPOINT, agent_id=AgentId("other"))], trusted=True)
-    harness.detector.record_loss(state, CONTENT, 0.0, silent=True)
+    harness.detector.record_loss(state, _make_request(CONTENT, 0.0), silent=True)
     await asyncio.sleep(0.01)
     assert [each.sign for each in harness.failures] == [FailureSign.RESTARTED]
 
@@ -110,7 +118,7 @@
     harness = DetectorHarness(Liveness.UNREACHABLE)
     state = harness.endpoints.get(ENDPOINT.agent_id)
     assert state is not None
-    with harness.detector.track_request([state], CONTENT):
+    with harness.detector.track_request([state], Workload(CONTENT, frozenset())):
         harness.detector.record_unreachable(state)
         await asyncio.sleep(0.01)
         assert [each.contents for each in harness.failures] == [{"c"}]
--- a/packages/wrenloft-routing/tests/test_segment_guard.py
+++ b/packages/wrenloft-routing/tests/test_segment_guard.py
@@ -69,14 +69,12 @@
 
     def fail(self, name: str, *workloads: Workload, answering: str = "") -> None:
         """Let an endpoint fail with these requests in progress."""
-        contents = frozenset(each.content for each in workloads)
         self.guard.record_endpoint_failure(
             EndpointFailure(
                 IncarnationId(name),
-                contents,
+                frozenset(workloads),
                 FailureSign.REFUSED,
                 self.clock.now,
-                frozenset(workloads),
                 frozenset(map(SegmentId, answering.split())),
             )
         )
