Count and log callers' connections that end without a complete answer

An aborted stream logged the same as a 502, so that the hypotheses about lost answers could not be told apart. Each such connection now has a line and a counter by reason; a begun stream that is aborted uses them. No decision changed.

--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -58,6 +58,7 @@
 )
 from wrenloft_routing._gate import Gate, Placed, PlacementRequest, Refused
 from wrenloft_routing._grants import GrantClient, GrantRoutes
+from wrenloft_routing._incomplete_answers import IncompleteReason, record_incomplete
 from wrenloft_routing._kind_ledger import KindLoad, KindLoads
 from wrenloft_routing._limit_ledger import ActiveLimit, LimitLedger, LimitUpdates
 from wrenloft_routing._limit_routes import LimitRoutes
@@ -173,6 +174,7 @@
     "GrantRoutes",
     "Headers",
     "InProgress",
+    "IncompleteReason",
     "Item",
     "KindLoad",
     "KindLoads",
@@ -249,4 +251,5 @@
     "pick_target",
     "probe_address",
     "read_frames",
+    "record_incomplete",
 ]
--- a/packages/wrenloft-routing/src/wrenloft_routing/_endings.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endings.py
@@ -6,6 +6,7 @@
 from wrenloft_policy import pick_limited_retry_after, pick_rest_retry_after, pick_retry_after
 from wrenloft_routing._exchange import AnswerSink, Headers
 from wrenloft_routing._gate import Refused
+from wrenloft_routing._incomplete_answers import IncompleteReason, record_incomplete
 from wrenloft_routing._request_log import RATE_LIMITED, RESTED
 from wrenloft_routing._request_progress import RequestProgress
 
@@ -51,8 +52,18 @@
 async def send_failure(progress: RequestProgress, outcome: Unknown, sink: AnswerSink) -> None:
     """Send a caller the failure of a request that may have run, or abort a begun answer."""
     if progress.stream.begun:
+        reason = _find_incomplete_reason(progress, outcome)
+        record_incomplete(progress.request.request_id, reason, outcome.reason, outcome.peer)
         sink.abort()
         return
     status = 504 if progress.left <= 0 else 502
     body = f"{outcome.step}: {outcome.reason}\n".encode()
     await sink.send_whole(status, (("Content-Type", "text/plain"),), body)
+
+
+def _find_incomplete_reason(progress: RequestProgress, outcome: Unknown) -> IncompleteReason:
+    if progress.left <= 0:
+        return IncompleteReason.DEADLINE
+    if outcome.step == "hold":
+        return IncompleteReason.QUARANTINED
+    return IncompleteReason.BROKEN_OFF
