Test silence in each phase, of each kind of request, beside other changes

Each test runs an entry process and two stand-in endpoints that are silent in one phase of an answer: before the head, behind it, inside an event, between events, inside a body, before the end. All kinds of route are asked at once, and every answer is compared with what the endpoints wrote: complete, of one endpoint, no event twice, sent at most as often as its route allows, and no connection left open afterwards. Conditions: little or no retry budget, the other endpoint rejecting, one attempt, little time left, silence at the endpoint that took over, twice in one stream, for good, of all connections at once, endpoints that drain or leave the list; beside it changes of routes, services, timeouts and keys, many of them in a row, a reload with half a settings file, a store that refuses calls, a stop of the node. Callers that keep their connection, of HTTP/1.0, and that are still sending; an endpoint's failure whose retry is rejected, silent or successful.

Found beside the silence between events: behind the head of a stream the second attempt never comes with maxAttempts 2, since the sends are counted one too high there (FIRST_PART-stream: 504 at the deadline).

--- a/tests/platform/silent_endpoints.py
+++ b/tests/platform/silent_endpoints.py
@@ -22,13 +22,17 @@
     """
 
     HEAD = "before the head"
-    FIRST_EVENT = "behind the head"
+    FIRST_PART = "behind the head"
     INSIDE_EVENT = "inside an event"
     NEXT_EVENT = "between events"
     INSIDE_BODY = "inside a body"
     END = "before the end"
 
 
+STREAM_PHASES = tuple(each for each in Phase if each is not Phase.INSIDE_BODY)
+WHOLE_PHASES = (Phase.HEAD, Phase.FIRST_PART, Phase.INSIDE_BODY, Phase.END)
+
+
 class Framing(Enum):
     """How the end of an answer is stated."""
 
@@ -45,27 +49,36 @@
         answer; only for the phases between and inside events.
     :param requests: number of requests with it, counted from the endpoint's first; ``None`` for
         all.
+    :param send: the only one of each request's sends, over all endpoints, that has it; the first
+        one is 1; ``None`` for all.
+    :param prefix: beginning of the ids of the requests with it.
     """
 
     phase: Phase
     seconds: float
     index: int = 1
     requests: int | None = None
+    send: int | None = None
+    prefix: str = ""
 
-    def applies_to(self, phase: Phase, index: int, number: int) -> bool:
-        """Return whether it is due before a part.
-
-        :param number: of the endpoint's requests before this one.
-        """
+    def applies_to(self, phase: Phase, index: int, served: "Served") -> bool:
+        """Return whether it is due before a part of an answer."""
         counted = phase in (Phase.NEXT_EVENT, Phase.INSIDE_EVENT)
-        is_selected = self.requests is None or number < self.requests
-        return is_selected and phase is self.phase and (index == self.index or not counted)
+        if phase is not self.phase or (counted and index != self.index):
+            return False
+        return (
+            (self.requests is None or served.number <= self.requests)
+            and self.send in (None, served.send)
+            and served.request_id.startswith(self.prefix)
+        )
 
 
 @dataclass
 class Served:
-    """A request as an endpoint got it, and what it wrote.
+    """A request as an endpoint got it, and what the endpoint wrote.
 
+    :param number: among the requests of its endpoint; the first one is 1.
+    :param send: among the sends of the same request to all endpoints; the first one is 1.
     :param last_event: id of the event behind which it is to begin, ``None`` if it isn't resumed.
     :param arrived: time on the loop's clock.
     :param written: bytes of the answer, its head and framing included.
@@ -73,8 +86,12 @@
     :param closed_at: when the other side had closed the connection of an incomplete answer.
     """
 
+    endpoint: str
     request_id: str
     path: str
+    body: bytes
+    number: int
+    send: int
     last_event: int | None
     arrived: float
     written: int = 0
@@ -103,56 +120,57 @@
     return b"".join(make_event(request_id, number) for number in range(events))
 
 
-def make_body(name: str, request_id: str, size: int = 0) -> bytes:
+def make_body(endpoint: str, request_id: str, size: int = 0) -> bytes:
     """Return the body that an endpoint gives to a request.
 
     :param size: bytes to which it is filled up.
     """
-    return f"{name} {request_id} ".encode().ljust(size, b".")
+    return f"{endpoint} {request_id} ".encode().ljust(size, b".")
 
 
 @dataclass
 class SilentEndpoint:
     """An endpoint that gives whole answers or, on paths with ``stream``, events.
 
+    :param log: requests in the order of their arrival; endpoints may share it.
     :param events: number of events of each stream.
     :param pace: seconds between two events.
     :param silences: all of them apply.
-    :param statuses: of its next whole answers, 200 if there are no more.
+    :param statuses: status of a whole answer by the number of the request's sends, else 200.
+    :param rejected_sends: numbers of the sends of each request that are rejected.
     :param body_size: bytes to which the body of a whole answer is filled up.
-    :param is_rejecting: whether it rejects requests that begin an answer.
-    :param is_rejecting_resumed: whether it rejects requests that resume a stream.
-    :param served: its requests, in the order of their arrival.
+    :param is_rejecting: whether it rejects all requests.
     """
 
     name: str
+    log: list[Served] = field(default_factory=list)
     events: int = 6
     pace: float = 0.05
     silences: list[Silence] = field(default_factory=list)
     framing: Framing = Framing.CHUNKED
-    statuses: list[int] = field(default_factory=list)
+    statuses: dict[int, int] = field(default_factory=dict)
+    rejected_sends: frozenset[int] = frozenset()
     body_size: int = 0
     is_rejecting: bool = False
-    is_rejecting_resumed: bool = False
-    served: list[Served] = field(default_factory=list)
     address: str = ""
     _flowing: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         self._flowing.set()
 
+    @property
+    def served(self) -> list[Served]:
+        """Its own requests."""
+        return [each for each in self.log if each.endpoint == self.name]
+
     def hold(self) -> None:
-        """Become silent on all connections, in whatever they are."""
+        """Become silent on all connections, in whatever part they are."""
         self._flowing.clear()
 
     def release(self) -> None:
         """Go on on all connections."""
         self._flowing.set()
 
-    def find(self, request_id: str) -> list[Served]:
-        """Return what it got of one request."""
-        return [each for each in self.served if each.request_id == request_id]
-
     @asynccontextmanager
     async def listen(self) -> AsyncIterator[None]:
         """Listen on a port of its own."""
@@ -168,7 +186,7 @@
             while await self._answer(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass  # a task of a handler that ends with its error logs it
+            pass  # the connection or the test has ended
         finally:
             writer.close()
 
@@ -177,23 +195,18 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         line, *rest = head.rstrip().split("\r\n")
         headers = {k.lower(): v for k, _, v in (each.partition(": ") for each in rest)}
-        await reader.readexactly(int(headers.get("content-length", "0")))
-        last = headers.get("last-event-id")
-        served = Served(
-            headers.get("x-attempt-id", ""),
-            line.split()[1],
-            None if last is None else int(last),
-            asyncio.get_running_loop().time(),
-        )
-        number = len(self.served)
-        self.served.append(served)
-        if self.is_rejecting_resumed if served.is_resumed else self.is_rejecting:
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        if "x-attempt-id" not in headers:  # a health check
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
+        served = self._record(line.split()[1], headers, body)
+        if self.is_rejecting or served.send in self.rejected_sends:
             served.is_rejected = served.is_complete = True
             writer.write(_REJECTION % served.request_id.encode())
             return True
         try:
             for phase, index, data in self._make_parts(served):
-                await self._pause_before(phase, index, number, reader)
+                await self._pause_before(phase, index, served, reader)
                 writer.write(data)
                 served.written += len(data)
                 await writer.drain()
@@ -203,27 +216,43 @@
         served.is_complete = True
         return self.framing is not Framing.CLOSE
 
+    def _record(self, path: str, headers: dict[str, str], body: bytes) -> Served:
+        request_id = headers["x-attempt-id"]
+        last = headers.get("last-event-id")
+        served = Served(
+            endpoint=self.name,
+            request_id=request_id,
+            path=path,
+            body=body,
+            number=len(self.served) + 1,
+            send=sum(each.request_id == request_id for each in self.log) + 1,
+            last_event=None if last is None else int(last),
+            arrived=asyncio.get_running_loop().time(),
+        )
+        self.log.append(served)
+        return served
+
     def _make_parts(self, served: Served) -> Iterator[tuple[Phase, int, bytes]]:
         """Yield the parts of an answer, each with the phase before it."""
-        if "stream" in served.path:
-            yield Phase.HEAD, 0, self._make_head(served, 200, "text/event-stream", None)
+        if _is_stream(served):
+            yield Phase.HEAD, 0, self._make_head(served, 200, "text/event-stream")
             first = 0 if served.last_event is None else served.last_event + 1
             for index, number in enumerate(range(first, self.events)):
                 event = make_event(served.request_id, number)
                 half = len(event) // 2
-                phase = Phase.NEXT_EVENT if index else Phase.FIRST_EVENT
-                yield phase, index, self._frame(event[:half])
-                yield Phase.INSIDE_EVENT, index, self._frame(event[half:])
+                phase = Phase.NEXT_EVENT if index else Phase.FIRST_PART
+                yield phase, index, self._frame(served, event[:half])
+                yield Phase.INSIDE_EVENT, index, self._frame(served, event[half:])
         else:
-            status = self.statuses.pop(0) if self.statuses else 200
             body = make_body(self.name, served.request_id, self.body_size)
             half = len(body) // 2
+            status = self.statuses.get(served.send, 200)
             yield Phase.HEAD, 0, self._make_head(served, status, "text/plain", len(body))
-            yield Phase.FIRST_EVENT, 0, self._frame(body[:half])
-            yield Phase.INSIDE_BODY, 0, self._frame(body[half:])
+            yield Phase.FIRST_PART, 0, self._frame(served, body[:half])
+            yield Phase.INSIDE_BODY, 0, self._frame(served, body[half:])
         yield Phase.END, 0, b"0\r\n\r\n" if self._is_chunked(served) else b""
 
-    def _make_head(self, served: Served, status: int, content: str, length: int | None) -> bytes:
+    def _make_head(self, served: Served, status: int, content: str, length: int = 0) -> bytes:
         lines = [
             f"HTTP/1.1 {status} Status",
             f"X-Attempt-Id: {served.request_id}",
@@ -237,16 +266,17 @@
         return "\r\n".join((*lines, "", "")).encode()
 
     def _is_chunked(self, served: Served) -> bool:
-        is_stream = "stream" in served.path
-        return self.framing is Framing.CHUNKED or (self.framing is Framing.LENGTH and is_stream)
+        if self.framing is Framing.LENGTH:
+            return _is_stream(served)  # its length isn't known in advance
+        return self.framing is Framing.CHUNKED
 
-    def _frame(self, data: bytes) -> bytes:
-        if self.framing is not Framing.CHUNKED:
+    def _frame(self, served: Served, data: bytes) -> bytes:
+        if not self._is_chunked(served):
             return data
         return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
     async def _pause_before(
-        self, phase: Phase, index: int, number: int, reader: asyncio.StreamReader
+        self, phase: Phase, index: int, served: Served, reader: asyncio.StreamReader
     ) -> None:
         """Wait until a part is due.
 
@@ -254,10 +284,14 @@
         """
         loop = asyncio.get_running_loop()
         due = loop.time() + (self.pace if phase is Phase.NEXT_EVENT else 0.0)
-        due += sum(each.seconds for each in self.silences if each.applies_to(phase, index, number))
+        due += sum(each.seconds for each in self.silences if each.applies_to(phase, index, served))
         while True:
             if reader.at_eof() or reader.exception() is not None:
                 raise ConnectionError("closed by the other side")
             if loop.time() >= due and self._flowing.is_set():
                 return
             await asyncio.sleep(_POLL_SECONDS)
+
+
+def _is_stream(served: Served) -> bool:
+    return "stream" in served.path
