Exclude a silent endpoint for at most as long as it has been silent

A silence excluded its endpoint like a failure, for 1.5 s and twice as long with each further request that noticed it, so that a sound endpoint was out of service longer than it had been silent. The exclusion because of a silence is now kept apart from that because of failures: as long as the silence so far, extended but never added up by further requests, ended by the first data. An exclusion that only failures to connect have caused can end once connections are accepted again.

The forwarder isn't changed.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -193,6 +193,14 @@
     :param sent_malformed_load: whether one of its answers had a load header that is no load.
     :param entry_read_at: when an entry with this content was first read.
     :param started_at: when it was first listed, if that shows that it has just started.
+    :param failures: failures in a row.
+    :param failed_until: until when it is excluded because of them.
+    :param other_failures: failures that caused this exclusion and weren't failures to connect.
+    :param heard_at: when part of an answer last arrived from it.
+    :param silent_since: since when it has been silent, if a silence was recorded and nothing has
+        arrived since.
+    :param silent_from: when the exclusion because of that silence began.
+    :param silent_until: until when it is excluded because of that silence.
     """
 
     endpoint: Endpoint
@@ -200,7 +208,12 @@
     rest_until: float = 0.0
     in_progress: InProgress = NO_LOAD
     failures: int = 0
-    suspect_until: float = 0.0
+    failed_until: float = 0.0
+    other_failures: int = 0
+    heard_at: float = float("-inf")
+    silent_since: float | None = None
+    silent_from: float = 0.0
+    silent_until: float = 0.0
     full_until: float = 0.0
     report: EngineReport | None = None
     reported_at: float = 0.0
@@ -221,6 +234,11 @@
         """Whether it is leaving, and takes no new requests."""
         return self.departure is not None
 
+    @property
+    def suspect_until(self) -> float:
+        """Until when it is excluded, because of failures or a silence."""
+        return max(self.failed_until, self.silent_until)
+
     def is_open(self, now: float) -> bool:
         """Return whether it takes new requests of this node, if it has slots."""
         return self.is_allowed(None) and self.rest_until <= now
@@ -676,16 +694,64 @@
 
     def record_success(self, state: EndpointState) -> None:
         """Reset the failures of an endpoint."""
-        state.failures = 0
-        state.suspect_until = 0.0
+        state.failures = state.other_failures = 0
+        state.failed_until = state.silent_until = 0.0
+        state.silent_since = None
 
     def record_failure(self, state: EndpointState, now: float) -> None:
         """Exclude an endpoint for a time that doubles with each failure in a row."""
         pause = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2**state.failures)
         state.failures += 1
-        state.suspect_until = now + pause
+        if state.failed_until <= now:
+            state.other_failures = min(0, state.other_failures)
+        state.other_failures += 1
+        state.failed_until = now + pause
         self.mark_changed()
 
+    def record_failed_connect(self, state: EndpointState) -> None:
+        """Record that the failure that is recorded beside this one was a failure to connect."""
+        state.other_failures -= 1
+
+    def record_reachable(self, state: EndpointState, now: float) -> None:
+        """Record that an endpoint accepts connections again.
+
+        Ends an exclusion that only failures to connect have caused. The kernel of a stopped process
+        accepts connections too, so it says nothing of one that is silent on an open connection.
+        """
+        if state.failed_until > now and state.other_failures <= 0:
+            state.failed_until = 0.0
+            self.mark_changed()
+            self.wake_waiting()
+
+    def record_silence(self, state: EndpointState, since: float, now: float) -> None:
+        """Exclude an endpoint for as long as it has been silent.
+
+        Requests that notice the same silence later extend the exclusion to the length of the
+        silence so far. While nothing arrives, the next exclusion counts from its beginning too.
+
+        :param since: when a request there was sent, or last got part of its answer.
+        """
+        since = max(since, state.heard_at)
+        if state.silent_since is None or since < state.silent_since:
+            state.silent_since = since
+        if state.silent_until <= now:
+            state.silent_from = now
+        silence = min(MAX_SUSPECT_SECONDS, now - state.silent_since)
+        if state.silent_from + silence > max(now, state.silent_until):
+            state.silent_until = state.silent_from + silence
+            self.mark_changed()
+
+    def record_heard(self, state: EndpointState, now: float) -> None:
+        """Record that part of an answer arrived from an endpoint; it ends a silence."""
+        state.heard_at = now
+        if state.silent_since is None:
+            return
+        state.silent_since = None
+        if state.silent_until > now:
+            state.silent_until = 0.0
+            self.mark_changed()
+            self.wake_waiting()
+
     def record_full(self, state: EndpointState, now: float) -> None:
         """Skip an endpoint for a moment after it rejected a request as full."""
         state.full_until = now + FULL_SECONDS
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -193,6 +193,13 @@
             self._tasks.add(losses.check)
             losses.check.add_done_callback(self._tasks.discard)
 
+    def record_silence(self, state: EndpointState, request: RunningRequest) -> None:
+        """Record that the answer to a tracked request has been silent, and check the endpoint."""
+        self.record_loss(state, request, silent=True)
+
+    def record_heard(self, state: EndpointState) -> None:
+        """Record that part of an answer arrived from an endpoint."""
+
     async def wait_for_checks(self, states: Iterable[EndpointState]) -> None:
         """Wait until the endpoints at which answers were lost have been checked."""
         known = (self._losses.get(each.endpoint.incarnation) for each in states)
