--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -96,7 +96,7 @@
     StoreSnapshot,
     ZoneRole,
 )
-from wrenloft_routing._streams import StreamEnd, StreamProgress, forward_stream
+from wrenloft_routing._streams import EventReader, StreamEnd, StreamProgress
 from wrenloft_routing._subscriptions import AgentPeer, NodePeer, Subscriptions
 from wrenloft_routing._table import (
     AllowedRegions,
@@ -158,6 +158,7 @@
     "EvacuationLedger",
     "EvacuationRoutes",
     "Event",
+    "EventReader",
     "EventSplitter",
     "FailureDetector",
     "FailureSign",
@@ -244,7 +245,6 @@
     "encode_frame",
     "encode_segment_crashes",
     "encode_update",
-    "forward_stream",
     "identify_content",
     "intersect_regions",
     "list_eligible",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_answers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_answers.py
@@ -1,5 +1,6 @@
 """Reading of answers that are sent whole, within the memory of this node."""
 
+from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 
 from prometheus_client import Counter
@@ -19,12 +20,22 @@
     """There is no memory for an answer, and it can't be forwarded as it arrives."""
 
 
-async def relay_answer(reply: Reply, sink: AnswerSink, progress: RequestProgress) -> bytes | None:
+async def _claim_nothing() -> None:
+    return
+
+
+async def relay_answer(
+    reply: Reply,
+    sink: AnswerSink,
+    progress: RequestProgress,
+    claim: Callable[[], Awaitable[None]] = _claim_nothing,
+) -> bytes | None:
     """Read an answer whole, or forward it as it arrives where there is no memory for it.
 
     As long as there is, it is held: the endpoint is free however slowly the caller reads, and
     another one can give the answer if this one breaks off. Once it is begun, none can.
 
+    :param claim: called before the answer is begun; ends the request's other attempts.
     :returns: the body, ``None`` if it was forwarded; the sink is then to be ended.
     :raises ReplyBrokenError: if it ended early.
     :raises AnswerShortageError: if there is no memory for it.
@@ -33,19 +44,23 @@
     if not held.is_bounded:
         return await reply.read_whole()
     parts = []
+    reserved = 0
     with ExitStack() as stack:
-        stack.callback(held.resize, held.size)
+        # Another attempt of this request may reserve at the same time.
+        stack.callback(lambda: held.resize(held.size - reserved))
         while part := await reply.read_some():
             parts.append(part)
             shortage = held.grow(len(part))
             if shortage is not None:
                 break
+            reserved += len(part)
         else:
             stack.pop_all()
             return b"".join(parts)
     if not progress.request.takes_chunks:
         ANSWERS.labels("ended").inc()
         raise AnswerShortageError(str(shortage))
+    await claim()
     await _forward(parts, reply, sink, progress)
     return None
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
@@ -59,3 +59,9 @@
             return False
         account.tokens -= 1.0
         return True
+
+    def refund(self, service: ServiceName) -> None:
+        """Return a retry that was withdrawn and not sent."""
+        account = self._accounts.get(service)
+        if account is not None:
+            account.tokens += 1.0
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence, Set
+from contextlib import AsyncExitStack
+from functools import partial
+from math import inf
 from random import Random
 
 from wrenloft_core import (
+    AgentId,
     Done,
     NotRun,
     Outcome,
@@ -18,12 +22,24 @@
     estimate_elapsed,
     rank_urgency,
 )
-from wrenloft_routing._answers import AnswerShortageError, relay_answer
+from wrenloft_routing._answers import relay_answer
+from wrenloft_routing._attempts import (
+    AttemptProgress,
+    BrokenAnswer,
+    OpenAttempts,
+    Phase,
+    Result,
+    ShortAnswer,
+    WholeAnswer,
+    read_whole,
+    wait_alone,
+)
 from wrenloft_routing._budget import SharedRetryBudget
 from wrenloft_routing._content import identify_content
 from wrenloft_routing._crash_guard import AnyQuarantine, CrashGuard
 from wrenloft_routing._endings import give_up, send_failure, send_refusal
 from wrenloft_routing._endpoints import Endpoints, EndpointState
+from wrenloft_routing._events import Event
 from wrenloft_routing._exchange import (
     AnswerSink,
     Attempt,
@@ -43,11 +59,23 @@
     ATTEMPTS,
     FIRST_EVENT_SECONDS,
     log_attempt,
+    log_no_second_attempt,
+    log_silence,
+    log_silence_end,
+    log_superseded,
     record_outcome,
 )
-from wrenloft_routing._request_progress import RequestProgress, build_placement_request
+from wrenloft_routing._request_progress import (
+    RequestProgress,
+    build_placement_request,
+)
 from wrenloft_routing._segment_ledger import SegmentQuarantine
-from wrenloft_routing._streams import StreamEnd, forward_stream
+from wrenloft_routing._streams import (
+    STALL_OBJECTIVES,
+    EventReader,
+    StreamEnd,
+    forward_events,
+)
 from wrenloft_routing._table import (
     AllowedRegions,
     RoutingTable,
@@ -62,11 +90,11 @@
 refused takes milliseconds, one that times out 0.25 s, so that four of these take up to a second."""
 
 _SILENCE_OBJECTIVES = 4.0
-"""Latency objectives after which an idempotent request without an answer is retried elsewhere, if
+"""Latency objectives after which an idempotent request without an answer is tried elsewhere too, if
 time is left: it is overdue, but can still be answered before its caller times out."""
 
 _SILENCE_SHARE = 0.4
-"""Share of the remaining time that a silent endpoint may use before another one is tried."""
+"""Share of the remaining time that a silent endpoint may use before another one is tried too."""
 
 TIMEOUT_DECAY = 0.9995
 """Factor by which the longest caller timeout of a rule decays with each request, so that a shorter
@@ -83,6 +111,14 @@
 _DRAIN_SECONDS = 0.03
 """Longest wait for the rest of an answer that is discarded."""
 
+_DEADLINE_STEPS = {
+    Phase.HEAD: "send",
+    Phase.FIRST_EVENT: "stream",
+    Phase.GAP: "stream",
+    Phase.BODY: "read",
+}
+"""Step of a request that its deadline ended, by what its first open attempt waited for."""
+
 
 RequestGrants = Callable[[Sequence[EndpointState], int], Awaitable[bool]]
 
@@ -122,7 +158,7 @@
         self._guard = guard
         self._request_grants = request_grants
         self._longest_timeouts: dict[str, float] = {}
-        self._opening: dict[RunningRequest, asyncio.Timeout] = {}
+        self._opening: dict[RunningRequest, AttemptProgress] = {}
         guard.segments.on_begin = self._cancel_refused
 
     async def forward(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
@@ -185,17 +221,28 @@
     async def _run(self, progress: RequestProgress, sink: AnswerSink) -> Outcome:
         """Send attempts until one gives the answer or no further one is allowed."""
         self._budget.deposit(progress.service.name, read_clock())
+        async with OpenAttempts() as attempts:
+            while True:
+                outcome = await self._start_next(progress, attempts)
+                if outcome is None:
+                    outcome = await self._follow(progress, attempts, sink)
+                if outcome is not None:
+                    return outcome
+
+    async def _start_next(
+        self, progress: RequestProgress, attempts: OpenAttempts
+    ) -> Outcome | None:
+        """Send an attempt while no other is open, or return why none is sent."""
         while True:
             if (quarantine := await self._find_quarantine(progress)) is not None:
                 return self._refuse_quarantined(progress, quarantine)
             placed = await self._place(progress)
             if isinstance(placed, Refused):
                 return give_up(progress, "place", placed, self._random)
-            if not progress.is_probe and self._guard.find_refusal(progress.workload) is not None:
-                continue  # the update arrived while the request waited
-            outcome = await self._attempt(progress, placed, sink)
-            if outcome is not None:
-                return outcome
+            if progress.is_probe or self._guard.find_refusal(progress.workload) is None:
+                self._start_attempt(progress, placed, attempts)
+                return None
+            # Otherwise the update arrived while the request waited.
 
     async def _find_quarantine(self, progress: RequestProgress) -> AnyQuarantine | None:
         """Return the quarantine that forbids sending a request, ``None`` if it may be sent.
@@ -233,7 +280,13 @@
             return Unknown("hold", reason, progress.peer)
         return NotRun("hold", reason, retry_after=retry_after)
 
-    async def _place(self, progress: RequestProgress) -> Placed | Refused:
+    async def _place(
+        self, progress: RequestProgress, excluded: Set[AgentId] = frozenset()
+    ) -> Placed | Refused:
+        """Choose an endpoint, waiting briefly for one if necessary.
+
+        :param excluded: endpoints not to choose beside those that were tried.
+        """
         if progress.left < _MIN_TIME_LEFT_SECONDS:
             return Refused("no time left", 0)
         # An endpoint that failed used up the objective. The next one gets a new objective, since a
@@ -243,7 +296,7 @@
         placement = build_placement_request(progress, since)
         while True:
             placement.regions = self._find_regions(progress)
-            placed = await self._gate.place(placement, progress.tried)
+            placed = await self._gate.place(placement, progress.tried | excluded)
             if isinstance(placed, Refused):
                 return placed
             if placement.regions != self._find_regions(progress):
@@ -267,63 +320,253 @@
             return progress.regions if current is None else current
         return progress.regions & current
 
-    async def _attempt(
-        self, progress: RequestProgress, placed: Placed, sink: AnswerSink
-    ) -> Outcome | None:
-        """Send the request once; ``None`` means that another attempt may follow."""
+    def _start_attempt(
+        self, progress: RequestProgress, placed: Placed, attempts: OpenAttempts
+    ) -> None:
+        """Send the request once, beside the attempts that are open."""
         state = placed.state
-        state.record_sent(read_clock())
+        now = read_clock()
+        state.record_sent(now)
         state.pop_idle_connection()
-        tokens = round(progress.request.prompt_tokens)
-        progress.load = InProgress(unread=1, unread_tokens=tokens)
-        state.add_load(progress.load)
-        for stage in placed.chain[1:]:
-            stage.state.downstream_requests += 1
         progress.peer = state.endpoint.agent_id
         progress.prediction = placed.prediction
-        begin_limit = self._gate.measure_begin_limit(state, progress.service)
-        progress.begin_by = read_clock() + begin_limit - BEGIN_MARGIN_SECONDS
-        revision = self.table.revision if self.table else 0
         rate_limit = self._endpoints.find_rate_limit(state)
-        progress.limit_known = rate_limit is not None
+        revision = self.table.revision if self.table else 0
         coldness = self._endpoints.find_coldness(state)
-        log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness)
+        beside = [each.peer for each in attempts.attempts]
+        log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness, beside)
+        progress.attempts += 1
+        cleanup = AsyncExitStack()
+        running = cleanup.enter_context(
+            self._detector.track_request(placed.states, progress.workload)
+        )
+        begin_limit = self._gate.measure_begin_limit(state, progress.service)
+        attempt = AttemptProgress(
+            placed,
+            running,
+            begin_by=now + begin_limit - BEGIN_MARGIN_SECONDS,
+            limit_known=rate_limit is not None,
+            patience=self._measure_patience(progress),
+            heard_at=now,
+            cleanup=cleanup,
+            load=InProgress(unread=1, unread_tokens=round(progress.request.prompt_tokens)),
+        )
+        state.add_load(attempt.load)
+        cleanup.callback(self._release_load, attempt)
+        for stage in placed.chain[1:]:
+            stage.state.downstream_requests += 1
+        cleanup.callback(_release_chain, placed)
+        attempt.wait = partial(self._open, self._build_attempt(progress, attempt))
+        if not progress.is_probe:
+            self._opening[running] = attempt
+            cleanup.callback(self._opening.pop, running, None)
+        attempts.attempts.append(attempt)
+
+    async def _follow(
+        self, progress: RequestProgress, attempts: OpenAttempts, sink: AnswerSink
+    ) -> Outcome | None:
+        """Wait for the open attempts; ``None`` if all ended and another one may follow."""
+        while attempts:
+            if progress.left <= 0:
+                return self._end_at_deadline(progress, attempts)
+            outcome = await self._review_times(progress, attempts)
+            if outcome is None and attempts:
+                outcome = await self._wait_for_result(progress, attempts, sink)
+            if outcome is not None:
+                return outcome
+        return None
+
+    async def _wait_for_result(
+        self, progress: RequestProgress, attempts: OpenAttempts, sink: AnswerSink
+    ) -> Outcome | None:
+        """Wait until the next check at the latest, and handle what arrives."""
+        seconds = max(0.0, self._find_next_check(progress, attempts) - read_clock())
+        if attempts.is_single:
+            attempt = attempts.attempts[0]
+            result = await wait_alone(attempt, seconds)
+            if result is None:
+                return None
+            return await self._handle_result(progress, attempts, attempt, result, sink)
+        await attempts.wait(seconds)
+        while (finished := attempts.find_finished()) is not None:
+            result = finished.take_result()
+            outcome = await self._handle_result(progress, attempts, finished, result, sink)
+            if outcome is not None:
+                return outcome
+        choice = attempts.take_choice()
+        if choice is not None:
+            return self._handle_choice(progress, attempts, choice)
+        return None
+
+    def _find_next_check(self, progress: RequestProgress, attempts: OpenAttempts) -> float:
+        times = [progress.deadline]
+        for each in attempts.attempts:
+            times.append(each.silent_at)
+            if self._must_begin(progress, each):
+                times.append(each.begin_by)
+        return min(times)
+
+    def _must_begin(self, progress: RequestProgress, attempt: AttemptProgress) -> bool:
+        """Return whether an attempt may still begin on a version that is about to be due."""
+        return attempt.phase in (Phase.HEAD, Phase.FIRST_EVENT) and not progress.stream.begun
+
+    async def _review_times(
+        self, progress: RequestProgress, attempts: OpenAttempts
+    ) -> Outcome | None:
+        """Act on attempts that have not begun in time, or are silent."""
+        now = read_clock()
+        for attempt in list(attempts.attempts):
+            if self._must_begin(progress, attempt) and now >= attempt.begin_by:
+                # Cancelled ahead of a version's deadline, which is no fault of the endpoint.
+                # Counted as a failure, it excluded every engine for 1.5 s after each swap.
+                late = Lost("not begun before the version is due", at_fault=False)
+                outcome = await self._end_failed(progress, attempts, attempt, late)
+                if outcome is not None:
+                    return outcome
+            elif now >= attempt.silent_at:
+                self._review_silence(progress, attempts, attempt, now)
+        return None
+
+    def _review_silence(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        now: float,
+    ) -> None:
+        """Try another endpoint beside a silent attempt, which may still go on."""
+        if attempt.silent_since is None:
+            attempt.silent_since = attempt.heard_at
+            log_silence(progress, attempt)
+            self._record_silence(attempt, now)
+        attempt.reviewed_at = now
+        if attempts.all_silent and self._can_retry(progress):
+            attempts.begin_choice(self._choose_beside(progress, attempts, attempt))
+
+    def _record_silence(self, attempt: AttemptProgress, now: float) -> None:
+        self._endpoints.record_silence(attempt.state, attempt.heard_at, now)
+        for state in attempt.placed.states:
+            self._detector.record_silence(state, attempt.running)
+
+    async def _choose_beside(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        silent: AttemptProgress | None,
+        *,
+        paid: bool = False,
+    ) -> Placed | Refused:
+        """Choose an endpoint for an attempt beside the open ones.
+
+        :param silent: the attempt whose silence calls for it.
+        :param paid: whether the retry budget was charged for it.
+        """
+        if silent is not None and await self._may_have_crashed(progress, silent.placed):
+            return Refused("it may have crashed the endpoint", 0)
+        if not paid and not self._budget.withdraw(progress.service.name, read_clock()):
+            return Refused("no second try left in the budget", 0)
+        chosen: Placed | Refused = Refused("quarantined", 0)
         try:
-            with self._detector.track_request(placed.states, progress.workload) as progress.running:
-                started = progress.running.sent_at
-                result = await self._open_within(progress, placed)
-                if not isinstance(result, NotSent | Rejected | Lost):
-                    progress.running.record_data()
-                    return await self._handle_reply(progress, placed, result, sink, started)
+            if self._guard.find_refusal(progress.workload) is None:
+                chosen = await self._place(progress, {each.peer for each in attempts.attempts})
         finally:
-            for stage in placed.chain[1:]:
-                stage.state.downstream_requests -= 1
-            self._release_load(progress, state)
+            if not isinstance(chosen, Placed):
+                self._budget.refund(progress.service.name)
+        return chosen
+
+    def _handle_choice(
+        self, progress: RequestProgress, attempts: OpenAttempts, choice: Placed | Refused
+    ) -> Outcome | None:
+        refused = choice if isinstance(choice, Refused) else None
+        if refused is None and self._guard.find_refusal(progress.workload) is not None:
+            self._budget.refund(progress.service.name)
+            refused = Refused("quarantined", 0)
+        if refused is None:
+            assert isinstance(choice, Placed)
+            self._start_attempt(progress, choice, attempts)
+            return None
+        if not attempts.attempts:
+            return give_up(progress, "place", refused, self._random)
+        for each in attempts.attempts:
+            log_no_second_attempt(progress, each, refused.reason)
+        return None
+
+    def _end_at_deadline(self, progress: RequestProgress, attempts: OpenAttempts) -> Outcome:
+        """End all attempts; their endpoints may have failed."""
+        now = read_clock()
+        for each in attempts.attempts:
+            self._record_silence(each, now)
+        progress.may_have_run = True
+        phase = attempts.attempts[0].phase if attempts.attempts else Phase.HEAD
+        step = _DEADLINE_STEPS[phase]
+        reason = "no answer in time" if phase is Phase.HEAD else "deadline passed"
+        return Unknown(step, reason, progress.peer)
+
+    async def _handle_result(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        result: Result,
+        sink: AnswerSink,
+    ) -> Outcome | None:
+        """Act on what one step of an attempt gave."""
+        if attempts.winner not in (None, attempt):
+            await attempts.drop(attempt)
+            return None
+        progress.peer = attempt.peer
+        if isinstance(result, NotSent | Rejected | Lost):
+            return await self._end_failed(progress, attempts, attempt, result)
+        if isinstance(result, list):
+            return await self._handle_events(progress, attempts, attempt, result, sink)
+        if isinstance(result, StreamEnd):
+            return await self._handle_stream_end(progress, attempts, attempt, result, sink)
+        if isinstance(result, WholeAnswer | BrokenAnswer | ShortAnswer):
+            return await self._handle_whole(progress, attempts, attempt, result, sink)
+        return await self._handle_reply(progress, attempts, attempt, result, sink)
+
+    def _record_heard(self, attempt: AttemptProgress) -> None:
+        attempt.heard_at = read_clock()
+        attempt.running.record_data()
+        for state in attempt.placed.states:
+            self._endpoints.record_heard(state, attempt.heard_at)
+            self._detector.record_heard(state)
+
+    async def _end_failed(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        result: NotSent | Rejected | Lost,
+    ) -> Outcome | None:
+        """End an attempt that gave no answer; ``None`` if others are open or may follow."""
+        state = attempt.state
+        await attempts.drop(attempt)
         ATTEMPTS.labels(type(result).__name__).inc()
         note(
             _LOG,
             "attempt failed",
             request=progress.request.request_id,
-            endpoint=progress.peer,
+            endpoint=attempt.peer,
             result=type(result).__name__,
             reason=result.reason,
-            ms=round((read_clock() - started) * 1000),
+            ms=round((read_clock() - attempt.running.sent_at) * 1000),
         )
         at_fault = self._find_at_fault(state, result)
-        self._record_losses(progress, placed, result, at_fault)
+        self._record_losses(attempt, result, at_fault)
         progress.tried.update(each.endpoint.agent_id for each in at_fault)
         if isinstance(result, NotSent):
-            progress.connect_seconds += read_clock() - started
-            return self._after_not_sent(progress, state, result)
-        progress.attempts += 1
+            progress.attempts -= 1
+            progress.connect_seconds += read_clock() - attempt.running.sent_at
+            return self._after_not_sent(progress, attempts, state, result)
         if isinstance(result, Rejected):
-            return self._after_rejected(progress, state, result, at_fault)
+            return self._after_rejected(progress, attempts, state, result, at_fault)
         if result.at_fault:
             self._endpoints.record_failure(state, read_clock())
-        elif (quarantine := self._guard.find_refusal(progress.workload)) is not None:
+        elif not attempts and (quarantine := self._guard.find_refusal(progress.workload)):
             progress.may_have_run = True
             return self._refuse_quarantined(progress, quarantine)
-        return await self._after_lost(progress, placed, "send", result.reason)
+        return await self._after_lost(progress, attempts, attempt, "send", result.reason)
 
     def _find_at_fault(
         self, state: EndpointState, result: NotSent | Rejected | Lost
@@ -338,8 +581,7 @@
 
     def _record_losses(
         self,
-        progress: RequestProgress,
-        placed: Placed,
+        attempt: AttemptProgress,
         result: NotSent | Rejected | Lost,
         at_fault: Sequence[EndpointState],
     ) -> None:
@@ -348,28 +590,29 @@
         In a chain the first engine reports the failure of one behind it.
         """
         if isinstance(result, Lost) and result.at_fault:
-            self._record_loss(progress, placed, silent=result.silent)
+            self._record_loss(attempt, silent=result.silent)
         elif isinstance(result, Rejected):
             for each in at_fault:
-                if each is not placed.state:
-                    self._detector.record_loss(each, progress.running, silent=True)
-
-    def _record_loss(self, progress: RequestProgress, placed: Placed, *, silent: bool) -> None:
-        for state in placed.states:
-            self._detector.record_loss(state, progress.running, silent=silent)
-
-    def _record_answer(self, progress: RequestProgress, placed: Placed, status: int) -> None:
-        incarnations = [each.endpoint.incarnation for each in placed.states]
-        self._guard.record_answer(progress.workload, incarnations, progress.running.sent_at, status)
-
-    async def _open_within(
-        self, progress: RequestProgress, placed: Placed
-    ) -> Reply | NotSent | Rejected | Lost:
-        left = progress.left
-        attempt = Attempt(
+                if each is not attempt.state:
+                    self._detector.record_loss(each, attempt.running, silent=True)
+
+    def _record_loss(self, attempt: AttemptProgress, *, silent: bool) -> None:
+        for state in attempt.placed.states:
+            self._detector.record_loss(state, attempt.running, silent=silent)
+
+    def _record_answer(
+        self, progress: RequestProgress, attempt: AttemptProgress, status: int
+    ) -> None:
+        incarnations = [each.endpoint.incarnation for each in attempt.placed.states]
+        sent_at = attempt.running.sent_at
+        self._guard.record_answer(progress.workload, incarnations, sent_at, status)
+
+    def _build_attempt(self, progress: RequestProgress, attempt: AttemptProgress) -> Attempt:
+        placed = attempt.placed
+        return Attempt(
             request=progress.request,
             endpoint=placed.state.endpoint,
-            left=left,
+            left=progress.left,
             organisation=progress.organisation,
             version=placed.version,
             last_event=progress.stream.last_event,
@@ -378,62 +621,57 @@
                 progress.rank, overdue=progress.elapsed > 0.0, begun=progress.stream.begun
             ),
         )
-        running = progress.running
-        try:
-            async with asyncio.timeout(self._silence_timeout(progress, left)) as timeout:
-                if not progress.is_probe:
-                    self._opening[running] = timeout
-                return await self._open(attempt)
-        except TimeoutError:
-            if running in self._opening and self._is_refused(running):
-                return Lost("quarantined while it waited at the endpoint", at_fault=False)
-            if read_clock() >= progress.begin_by:
-                # Cancelled ahead of a version's deadline, which is no fault of the endpoint.
-                # Counted as a failure, it excluded every engine for 1.5 s after each swap.
-                return Lost("not begun before the version is due", at_fault=False)
-            return Lost("no answer in time", silent=True)
-        finally:
-            self._opening.pop(running, None)
 
     def _is_refused(self, running: RunningRequest) -> bool:
         return self._guard.find_refusal(running.workload) is not None
 
     def _cancel_refused(self) -> None:
         """Cancel requests that wait at endpoints and would crash them once they begin."""
-        now = asyncio.get_running_loop().time()
-        for running, timeout in self._opening.items():
+        for running, attempt in self._opening.items():
             if self._is_refused(running):
-                timeout.reschedule(now)
-
-    def _silence_timeout(self, progress: RequestProgress, left: float) -> float:
-        """Return the seconds for which an endpoint may stay silent before it is given up."""
-        if not progress.stream.begun:
-            # A request that waits at a slow endpoint would begin on a version past its deadline.
-            # Cancelling it earlier closes the connection, and the endpoint drops it.
-            left = max(0.0, min(left, progress.begin_by - read_clock()))
-        if not self._can_retry(progress, progress.attempts + 1):
-            return left
-        return min(
-            left, max(progress.rule.latency_objective * _SILENCE_OBJECTIVES, left * _SILENCE_SHARE)
+                reason = "quarantined while it waited at the endpoint"
+                attempt.cancel(Lost(reason, at_fault=False))
+
+    def _measure_patience(self, progress: RequestProgress) -> float:
+        """Return the seconds of silence before a first event after which to try another endpoint.
+
+        Infinite if none may be tried.
+        """
+        if not self._can_retry(progress):
+            return inf
+        return max(
+            progress.rule.latency_objective * _SILENCE_OBJECTIVES, progress.left * _SILENCE_SHARE
         )
 
-    def _can_retry(self, progress: RequestProgress, attempts: int) -> bool:
+    def _can_retry(self, progress: RequestProgress) -> bool:
         allowed = progress.rule.idempotent and not progress.is_probe
-        return allowed and not progress.answer_begun and attempts < progress.rule.max_attempts
+        allowed = allowed and not progress.answer_begun
+        return allowed and progress.attempts < progress.rule.max_attempts
 
     def _after_not_sent(
-        self, progress: RequestProgress, state: EndpointState, result: NotSent
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        state: EndpointState,
+        result: NotSent,
     ) -> Outcome | None:
         self._endpoints.record_failure(state, read_clock())
         self._detector.record_unreachable(state)
         progress.not_sent += 1
-        if progress.connect_seconds > _MAX_CONNECT_SECONDS:
-            return give_up(progress, "connect", Refused(result.reason, 1), self._random)
-        return None
+        if progress.connect_seconds <= _MAX_CONNECT_SECONDS:
+            if attempts:
+                attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+            return None
+        if attempts:
+            self._budget.refund(progress.service.name)
+            self._keep_waiting(progress, attempts, result.reason)
+            return None
+        return give_up(progress, "connect", Refused(result.reason, 1), self._random)
 
     def _after_rejected(
         self,
         progress: RequestProgress,
+        attempts: OpenAttempts,
         state: EndpointState,
         result: Rejected,
         at_fault: Sequence[EndpointState],
@@ -449,22 +687,48 @@
             self._endpoints.record_cold_answer(each, result.notice)
             if result.misdirected:
                 self._endpoints.record_failure(each, now)
+        if attempts and not attempts.all_silent:
+            return None
         allowed = progress.attempts < progress.rule.max_attempts and not progress.is_probe
         if allowed and self._budget.withdraw(progress.service.name, now):
+            if attempts:
+                attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+            return None
+        if attempts:
+            self._keep_waiting(progress, attempts, result.reason)
             return None
         rest = self._gate.measure_rest(progress.service, progress.regions)
         return give_up(progress, "endpoint", Refused(result.reason, 1, rest=rest), self._random)
 
+    def _keep_waiting(self, progress: RequestProgress, attempts: OpenAttempts, reason: str) -> None:
+        """Leave the answer to the open attempts, whose endpoints may still give it."""
+        for each in attempts.attempts:
+            log_no_second_attempt(progress, each, reason)
+
     async def _after_lost(
-        self, progress: RequestProgress, placed: Placed, step: str, reason: str
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        step: str,
+        reason: str,
     ) -> Outcome | None:
+        """Decide on another attempt after one that was lost, and dropped."""
         progress.may_have_run = True
-        if self._can_retry(progress, progress.attempts) and progress.left > _MIN_TIME_LEFT_SECONDS:
-            if await self._may_have_crashed(progress, placed):
-                return Unknown(step, f"{reason}; it may have crashed the endpoint", progress.peer)
-            if self._budget.withdraw(progress.service.name, read_clock()):
+        if attempts and not attempts.all_silent:
+            return None
+        if self._can_retry(progress) and progress.left > _MIN_TIME_LEFT_SECONDS:
+            if await self._may_have_crashed(progress, attempt.placed):
+                reason = f"{reason}; it may have crashed the endpoint"
+            elif self._budget.withdraw(progress.service.name, read_clock()):
+                if attempts:
+                    attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
                 return None
-            reason = f"{reason}; no second try left in the budget"
+            else:
+                reason = f"{reason}; no second try left in the budget"
+        if attempts:
+            self._keep_waiting(progress, attempts, reason)
+            return None
         return Unknown(step, reason, progress.peer)
 
     async def _may_have_crashed(self, progress: RequestProgress, placed: Placed) -> bool:
@@ -481,166 +745,244 @@
     async def _handle_reply(
         self,
         progress: RequestProgress,
-        placed: Placed,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
         reply: Reply,
         sink: AnswerSink,
-        started: float,
     ) -> Outcome | None:
-        """Forward an answer, or reject it as invalid."""
-        state = placed.state
-        progress.attempts += 1
+        """Begin to read an answer, or reject it as invalid."""
+        state = attempt.state
+        self._opening.pop(attempt.running, None)
+        attempt.reply = reply
+        attempt.cleanup.push_async_callback(partial(reply.close, reusable=False))
         now = read_clock()
+        self._record_heard(attempt)
         self._endpoints.record_header_load(state, reply.load, now)
         self._endpoints.record_notice(state, reply.notice, now)
         self._endpoints.record_cold_answer(state, reply.notice)
         if reply.named_limit is not None or (reply.genuine and reply.status < 500):
-            self._endpoints.record_limit(state, reply.named_limit, limit_known=progress.limit_known)
-        try:
-            if not reply.genuine:
-                return await self._discard_reply(progress, placed, "answer is not this request's")
-            if reply.status >= 500 and placed.chain:
-                self._record_loss(progress, placed, silent=True)  # perhaps of a later engine
-            failed = reply.status >= 500 and self._can_retry(progress, progress.attempts)
-            if failed and self._budget.withdraw(progress.service.name, now):
-                ATTEMPTS.labels("failed").inc()
-                progress.tried.add(state.endpoint.agent_id)
-                progress.may_have_run = True
-                await self._drain(reply)
-                return None
-            streams = reply.is_stream and reply.status < 300
-            if progress.stream.begun and not streams:
-                # The body of an error response is not part of the stream of another engine.
-                reason = f"status {reply.status} behind a begun stream"
-                return await self._discard_reply(progress, placed, reason)
-            if streams:
-                return await self._relay_stream(progress, placed, reply, sink)
-            return await self._relay_whole(progress, placed, reply, sink, started)
-        finally:
-            await reply.close(reusable=False)
+            self._endpoints.record_limit(state, reply.named_limit, limit_known=attempt.limit_known)
+        if not reply.genuine:
+            reason = "answer is not this request's"
+            return await self._discard_reply(progress, attempts, attempt, reason)
+        if reply.status >= 500 and attempt.placed.chain:
+            self._record_loss(attempt, silent=True)  # perhaps of a later engine
+        streams = reply.is_stream and reply.status < 300
+        if progress.stream.begun and not streams:
+            # The body of an error response is not part of the stream of another engine.
+            reason = f"status {reply.status} behind a begun stream"
+            return await self._discard_reply(progress, attempts, attempt, reason)
+        if streams:
+            await self._end_silence(progress, attempts, attempt)
+            attempt.phase = Phase.FIRST_EVENT
+            attempt.patience = self._measure_patience(progress)
+            attempt.events = EventReader(
+                reply, partial(self._record_heard, attempt), progress.request.held
+            )
+            attempt.wait = attempt.events.read
+            return None
+        if reply.status >= 500 and self._may_retry_failure(progress, attempts):
+            await self._retry_failure(progress, attempts, attempt, reply)
+            return None
+        attempt.patience = inf
+        attempt.phase = Phase.BODY
+        await self._end_silence(progress, attempts, attempt)
+        claim = partial(self._keep_only, progress, attempts, attempt)
+        attempt.wait = partial(read_whole, partial(relay_answer, reply, sink, progress, claim))
+        return None
+
+    def _may_retry_failure(self, progress: RequestProgress, attempts: OpenAttempts) -> bool:
+        """Return whether another endpoint may answer a request that failed at one."""
+        if len(attempts.attempts) > 1 or attempts.choice is not None:
+            return True
+        allowed = self._can_retry(progress)
+        return allowed and self._budget.withdraw(progress.service.name, read_clock())
 
-    async def _release_connection(
-        self, progress: RequestProgress, state: EndpointState, reply: Reply
+    async def _retry_failure(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        reply: Reply,
     ) -> None:
-        """Keep the connection of a complete answer open for another request.
+        ATTEMPTS.labels("failed").inc()
+        progress.tried.add(attempt.peer)
+        progress.may_have_run = True
+        await _drain(reply)
+        await attempts.drop(attempt)
 
-        The endpoint has no more to do with it, however slowly the caller takes the answer.
+    async def _end_silence(
+        self, progress: RequestProgress, attempts: OpenAttempts, attempt: AttemptProgress
+    ) -> None:
+        """Note that a silent endpoint goes on; nothing further is sent beside it."""
+        if attempt.silent_since is None:
+            return
+        log_silence_end(progress, attempt)
+        attempt.silent_since = None
+        attempt.refusal = ""
+        await self._cancel_choice(progress, attempts)
+
+    async def _cancel_choice(self, progress: RequestProgress, attempts: OpenAttempts) -> None:
+        if await attempts.cancel_choice() is not None:
+            self._budget.refund(progress.service.name)
+
+    async def _keep_only(
+        self, progress: RequestProgress, attempts: OpenAttempts, winner: AttemptProgress
+    ) -> None:
+        """End the attempts that another one's answer replaces.
+
+        :raises ReplyBrokenError: if another one's answer has replaced this one.
         """
-        await reply.close(reusable=True)
-        if reply.framed and not reply.closing:
-            state.push_idle_connection(read_clock())
-        self._release_load(progress, state)
+        if not attempts.claim(winner):
+            raise ReplyBrokenError("superseded")
+        await self._cancel_choice(progress, attempts)
+        for each in list(attempts.attempts):
+            if each is not winner:
+                ATTEMPTS.labels("superseded").inc()
+                log_superseded(progress, each, winner)
+                await attempts.drop(each)
+
+    async def _handle_events(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        events: list[Event],
+        sink: AnswerSink,
+    ) -> Outcome | None:
+        """Forward events; the first attempt that has any goes on alone."""
+        if not progress.stream.continues_with(events):
+            return await self._end_broken_stream(progress, attempts, attempt)
+        attempts.claim(attempt)
+        await self._end_silence(progress, attempts, attempt)
+        if not attempts.is_single:
+            await self._keep_only(progress, attempts, attempt)
+        if attempt.phase is not Phase.GAP:
+            self._mark_running(attempt)
+        first = not progress.stream.begun
+        assert attempt.reply is not None
+        await forward_events(events, attempt.reply, sink, progress.stream)
+        attempts.winner = None  # another endpoint may go on with the stream
+        if first:
+            FIRST_EVENT_SECONDS.observe(progress.stream.begun_at - progress.request.arrived)
+            self._record_first_event(progress)
+        attempt.heard_at = read_clock()
+        attempt.patience = inf
+        if self._can_retry(progress):
+            attempt.patience = progress.rule.gap_objective * STALL_OBJECTIVES
+        return None
 
-    def _release_load(self, progress: RequestProgress, state: EndpointState) -> None:
-        if progress.load != NO_LOAD:
-            state.add_load(NO_LOAD - progress.load)
-            progress.load = NO_LOAD
-            self._endpoints.wake_waiting()
+    def _mark_running(self, attempt: AttemptProgress) -> None:
+        attempt.phase = Phase.GAP
+        running = InProgress(running=1)
+        attempt.state.add_load(running - attempt.load)
+        attempt.load = running
+        attempt.running.record_first_event()
 
-    async def _drain(self, reply: Reply) -> None:
-        """Read a short answer to its end, so that its connection can be reused."""
-        try:
-            async with asyncio.timeout(_DRAIN_SECONDS):
-                while await reply.read_some():
-                    pass
-                await reply.close(reusable=True)
-        except (ReplyBrokenError, TimeoutError):
-            return
+    async def _handle_stream_end(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        end: StreamEnd,
+        sink: AnswerSink,
+    ) -> Outcome | None:
+        reply = attempt.reply
+        assert reply is not None
+        if end is StreamEnd.BROKEN or not progress.stream.begun:
+            return await self._end_broken_stream(progress, attempts, attempt)
+        if not reply.framed and await self._detector.has_ended(attempt.state):
+            return await self._end_broken_stream(progress, attempts, attempt)
+        attempts.claim(attempt)
+        await self._end_silence(progress, attempts, attempt)
+        await self._keep_only(progress, attempts, attempt)
+        await self._release_connection(attempt, reply)
+        self._endpoints.record_success(attempt.state)
+        self._record_answer(progress, attempt, reply.status)
+        ATTEMPTS.labels("answered").inc()
+        await sink.end()
+        return Done(attempt.peer)
 
-    async def _discard_reply(
-        self, progress: RequestProgress, placed: Placed, reason: str, *, silent: bool = False
+    async def _end_broken_stream(
+        self, progress: RequestProgress, attempts: OpenAttempts, attempt: AttemptProgress
     ) -> Outcome | None:
-        ATTEMPTS.labels("broken").inc()
-        note(
-            _LOG,
-            "answer discarded",
-            request=progress.request.request_id,
-            endpoint=progress.peer,
-            reason=reason,
-        )
-        progress.tried.add(placed.state.endpoint.agent_id)
-        self._record_loss(progress, placed, silent=silent)
-        return await self._after_lost(progress, placed, "read", reason)
+        reason = f"stream {StreamEnd.BROKEN.value}"
+        return await self._discard_reply(progress, attempts, attempt, reason)
 
-    async def _relay_whole(
+    async def _handle_whole(
         self,
         progress: RequestProgress,
-        placed: Placed,
-        reply: Reply,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        result: WholeAnswer | BrokenAnswer | ShortAnswer,
         sink: AnswerSink,
-        started: float,
     ) -> Outcome | None:
-        state = placed.state
-        try:
-            async with asyncio.timeout(max(0.0, progress.left)):
-                body = await relay_answer(reply, sink, progress)
-        except TimeoutError:
-            self._record_loss(progress, placed, silent=True)
-            return Unknown("read", "deadline passed", progress.peer)
-        except AnswerShortageError as error:
-            return Unknown("read", f"memory: {error}", progress.peer)
-        except ReplyBrokenError as error:
-            return await self._discard_reply(progress, placed, f"answer broke off: {error}")
-        if not reply.framed and await self._detector.has_ended(state):
-            return await self._discard_reply(progress, placed, "endpoint ended with its answer")
-        await self._release_connection(progress, state, reply)
-        self._endpoints.record_success(state)
-        self._record_answer(progress, placed, reply.status)
-        if body is not None and progress.rule.kind is not RuleKind.STREAM:
-            seconds = compute_usual_seconds(read_clock() - started, reply.load)
+        reply = attempt.reply
+        assert reply is not None
+        if isinstance(result, ShortAnswer):
+            await attempts.drop(attempt)
+            if attempts:
+                self._keep_waiting(progress, attempts, f"memory: {result.reason}")
+                return None
+            return Unknown("read", f"memory: {result.reason}", attempt.peer)
+        if isinstance(result, BrokenAnswer):
+            reason = f"answer broke off: {result.reason}"
+            return await self._discard_reply(progress, attempts, attempt, reason)
+        if not reply.framed and await self._detector.has_ended(attempt.state):
+            reason = "endpoint ended with its answer"
+            return await self._discard_reply(progress, attempts, attempt, reason)
+        attempts.claim(attempt)
+        await self._keep_only(progress, attempts, attempt)
+        await self._release_connection(attempt, reply)
+        self._endpoints.record_success(attempt.state)
+        self._record_answer(progress, attempt, reply.status)
+        if result.body is not None and progress.rule.kind is not RuleKind.STREAM:
+            elapsed = read_clock() - attempt.running.sent_at
+            seconds = compute_usual_seconds(elapsed, reply.load)
             self._gate.record_work_seconds(progress.service.name, seconds)
         ATTEMPTS.labels("answered").inc()
-        if body is None:
+        if result.body is None:
             await sink.end()
         else:
-            await sink.send_whole(reply.status, reply.headers, body)
-        return Done(progress.peer)
+            await sink.send_whole(reply.status, reply.headers, result.body)
+        return Done(attempt.peer)
 
-    async def _relay_stream(
-        self, progress: RequestProgress, placed: Placed, reply: Reply, sink: AnswerSink
+    async def _discard_reply(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        reason: str,
     ) -> Outcome | None:
-        state = placed.state
-        first = not progress.stream.begun
-        held = progress.request.held
-        before = held.size
-
-        def mark_running() -> None:
-            running = InProgress(running=1)
-            state.add_load(running - progress.load)
-            progress.load = running
-            progress.running.record_first_event()
-
-        end = await forward_stream(
-            reply,
-            sink,
-            progress.stream,
-            first_event_timeout=self._silence_timeout(progress, progress.left),
-            gap_objective=progress.rule.gap_objective,
-            deadline=progress.deadline,
-            resumable=self._can_retry(progress, progress.attempts),
-            on_first_event=mark_running,
-            on_data=progress.running.record_data,
-            held=held,
+        """Drop an attempt whose answer is invalid or broke off."""
+        ATTEMPTS.labels("broken").inc()
+        note(
+            _LOG,
+            "answer discarded",
+            request=progress.request.request_id,
+            endpoint=attempt.peer,
+            reason=reason,
         )
-        held.resize(before)  # an event that did not become whole
-        if first and progress.stream.begun:
-            FIRST_EVENT_SECONDS.observe(progress.stream.begun_at - progress.request.arrived)
-            self._record_first_event(progress)
-        if end is StreamEnd.COMPLETE and not reply.framed and await self._detector.has_ended(state):
-            end = StreamEnd.BROKEN
-        if end is StreamEnd.COMPLETE:
-            await self._release_connection(progress, state, reply)
-            self._endpoints.record_success(state)
-            self._record_answer(progress, placed, reply.status)
-            ATTEMPTS.labels("answered").inc()
-            await sink.end()
-            return Done(progress.peer)
-        if end is StreamEnd.DEADLINE:
-            self._record_loss(progress, placed, silent=True)
-            return Unknown("stream", "deadline passed", progress.peer)
-        if end is StreamEnd.STALLED:
-            self._endpoints.record_failure(state, read_clock())
-        stalled = end is StreamEnd.STALLED
-        return await self._discard_reply(progress, placed, f"stream {end.value}", silent=stalled)
+        progress.tried.add(attempt.peer)
+        self._record_loss(attempt, silent=False)
+        await attempts.drop(attempt)
+        return await self._after_lost(progress, attempts, attempt, "read", reason)
+
+    async def _release_connection(self, attempt: AttemptProgress, reply: Reply) -> None:
+        """Keep the connection of a complete answer open for another request.
+
+        The endpoint has no more to do with it, however slowly the caller takes the answer.
+        """
+        await reply.close(reusable=True)
+        if reply.framed and not reply.closing:
+            attempt.state.push_idle_connection(read_clock())
+        self._release_load(attempt)
+
+    def _release_load(self, attempt: AttemptProgress) -> None:
+        if attempt.load != NO_LOAD:
+            attempt.state.add_load(NO_LOAD - attempt.load)
+            attempt.load = NO_LOAD
+            self._endpoints.wake_waiting()
 
     def _record_first_event(self, progress: RequestProgress) -> None:
         """Record first attempts only; a retried request was late before it was sent."""
@@ -648,3 +990,19 @@
             seconds = progress.stream.begun_at - progress.request.arrived
             in_time = seconds <= progress.rule.latency_objective
             self._gate.record_first_event(progress.service.name, in_time=in_time)
+
+
+async def _drain(reply: Reply) -> None:
+    """Read a short answer to its end, so that its connection can be reused."""
+    try:
+        async with asyncio.timeout(_DRAIN_SECONDS):
+            while await reply.read_some():
+                pass
+            await reply.close(reusable=True)
+    except (ReplyBrokenError, TimeoutError):
+        return
+
+
+def _release_chain(placed: Placed) -> None:
+    for stage in placed.chain[1:]:
+        stage.state.downstream_requests -= 1
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -1,11 +1,13 @@
 """Metrics and log lines of each request."""
 
 import logging
+from collections.abc import Sequence
 
 from prometheus_client import Counter, Histogram
 
 from wrenloft_core import Outcome, note, read_clock
 from wrenloft_policy import Coldness
+from wrenloft_routing._attempts import AttemptProgress, measure_silence
 from wrenloft_routing._exchange import CallerRequest
 from wrenloft_routing._failure_detector import MAX_LOGGED_SEGMENTS
 from wrenloft_routing._gate import Placed
@@ -29,6 +31,10 @@
     buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.6, 3.2),
 )
 ATTEMPTS = Counter("wrenloft_routing_attempts", "Sendings to endpoints by result", ["result"])
+SILENCES = Counter(
+    "wrenloft_silent_attempts", "Attempts whose endpoint fell silent, by what was due", ["phase"]
+)
+CONTINUED = Counter("wrenloft_continued_attempts", "Silent attempts whose endpoint went on")
 RATE_LIMITED = Counter(
     "wrenloft_rate_limited_requests", "Requests refused because of endpoints' rate limits"
 )
@@ -43,6 +49,7 @@
     proof_age: float,
     rate_limit: float | None,
     coldness: Coldness | None = None,
+    beside: Sequence[str] = (),
 ) -> None:
     """Log that a request is sent, and the basis of that decision.
 
@@ -50,6 +57,7 @@
     :param proof_age: seconds since that was verified to be the newest.
     :param rate_limit: of the endpoint, in requests per second, as known to this node.
     :param coldness: of the endpoint, as known to this node.
+    :param beside: silent endpoints whose attempts stay open.
     """
     state = placed.state
     now = read_clock()
@@ -76,6 +84,62 @@
         cold_left_ms=round(coldness.left * 1000) if coldness is not None else 0,
         chain=[each.state.endpoint.agent_id for each in placed.chain],
         resumed_after=progress.stream.last_event,
+        beside=list(beside),
+    )
+
+
+def log_silence(progress: RequestProgress, attempt: AttemptProgress) -> None:
+    """Log that an endpoint has sent nothing for longer than usual."""
+    SILENCES.labels(attempt.phase.value).inc()
+    note(
+        _LOG,
+        "endpoint silent",
+        request=progress.request.request_id,
+        endpoint=attempt.peer,
+        phase=attempt.phase.value,
+        silent_ms=round(measure_silence(attempt) * 1000),
+        left_ms=round(progress.left * 1000),
+        last_event=progress.stream.last_event,
+    )
+
+
+def log_no_second_attempt(progress: RequestProgress, attempt: AttemptProgress, reason: str) -> None:
+    """Log why no other endpoint is tried beside a silent one, once for each reason in a row."""
+    if attempt.refusal == reason:
+        return
+    attempt.refusal = reason
+    note(
+        _LOG,
+        "second attempt not made",
+        request=progress.request.request_id,
+        endpoint=attempt.peer,
+        reason=reason,
+    )
+
+
+def log_silence_end(progress: RequestProgress, attempt: AttemptProgress) -> None:
+    """Log that a silent endpoint goes on."""
+    CONTINUED.inc()
+    note(
+        _LOG,
+        "silent endpoint continued",
+        request=progress.request.request_id,
+        endpoint=attempt.peer,
+        silent_ms=round((attempt.heard_at - (attempt.silent_since or 0.0)) * 1000),
+    )
+
+
+def log_superseded(
+    progress: RequestProgress, attempt: AttemptProgress, winner: AttemptProgress
+) -> None:
+    """Log that an attempt is ended because another endpoint has answered."""
+    note(
+        _LOG,
+        "attempt superseded",
+        request=progress.request.request_id,
+        endpoint=attempt.peer,
+        by=winner.peer,
+        silent_ms=round(measure_silence(attempt) * 1000),
     )
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -5,24 +5,20 @@
 from wrenloft_core import AgentId, ContentId, OrganisationName, read_clock
 from wrenloft_policy import Prediction, Workload
 from wrenloft_routing._exchange import CallerRequest
-from wrenloft_routing._failure_detector import RunningRequest
 from wrenloft_routing._gate import PlacementRequest
-from wrenloft_routing._loads import NO_LOAD, InProgress
 from wrenloft_routing._streams import StreamProgress
 from wrenloft_routing._table import AllowedRegions, BackendService, Rule
 
 
-def _make_unsent() -> RunningRequest:
-    return RunningRequest(Workload(ContentId(""), frozenset()), 0.0, 0.0)
-
-
 @dataclass(slots=True)
 class RequestProgress:
     """The state of one request.
 
     :param regions: in which it may be served, ``None`` for all.
+    :param attempts: sent to endpoints, whatever became of them.
     :param connect_seconds: time spent on connections that failed.
-    :param running: the latest attempt at an endpoint.
+    :param prediction: of the latest attempt.
+    :param peer: endpoint of the latest attempt, or of the one that answers.
     :param answer_begun: whether part of an answer that is no stream was sent to the caller, so that
         no other endpoint can give the answer.
     """
@@ -41,14 +37,10 @@
     connect_seconds: float = 0.0
     may_have_run: bool = False
     is_probe: bool = False
-    limit_known: bool = False
     elapsed: float = 0.0
     prediction: Prediction = Prediction(0.0, 0.0)
-    begin_by: float = float("inf")
     peer: str = ""
-    running: RunningRequest = field(default_factory=_make_unsent)
     stream: StreamProgress = field(default_factory=StreamProgress)
-    load: InProgress = NO_LOAD
     answer_begun: bool = False
 
     @property
--- a/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -1,6 +1,5 @@
-"""Forwarding of event streams, with detection of stalls."""
+"""Reading of event streams, and what the caller has of them."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -11,9 +10,8 @@
 from wrenloft_routing._memory_budget import UNBOUNDED, Reservation
 
 STALL_OBJECTIVES = 2.5
-"""Multiples of the gap objective after which a resumable stream counts as stalled. A busy engine
-still writes within twice the objective; callers leave after eight times the objective at the
-earliest."""
+"""Multiples of the gap objective after which an endpoint counts as silent. A busy engine still
+writes within twice the objective; callers leave after eight times the objective at the earliest."""
 
 
 class StreamEnd(Enum):
@@ -21,8 +19,6 @@
 
     COMPLETE = "complete"
     BROKEN = "broke off"
-    STALLED = "stalled"
-    DEADLINE = "deadline passed"
 
 
 @dataclass(slots=True)
@@ -36,84 +32,73 @@
     begun_at: float = 0.0
     last_event: int | None = None
 
+    def continues_with(self, events: list[Event]) -> bool:
+        """Return whether no event is missing, repeated or from another run."""
+        last = self.last_event
+        for event in events:
+            if event.number is not None:
+                if last is not None and event.number != last + 1:
+                    return False
+                last = event.number
+        return True
 
-async def forward_stream(
-    reply: Reply,
-    sink: AnswerSink,
-    stream: StreamProgress,
-    *,
-    first_event_timeout: float,
-    gap_objective: float,
-    deadline: float,
-    resumable: bool,
-    on_first_event: Callable[[], None],
-    on_data: Callable[[], None] = lambda: None,
-    held: Reservation = UNBOUNDED,
-) -> StreamEnd:
-    """Forward events until the endpoint's stream ends.
 
-    The head is sent with the first whole event: until then the request can still be tried
-    elsewhere, or refused with its own status.
+class EventReader:
+    """Reads whole events from one endpoint's answer.
 
-    :param first_event_timeout: seconds until the first event.
-    :param resumable: whether a later stall may end this endpoint's stream; if not, the stream waits
-        until the deadline, since no other endpoint could resume it.
-    :param on_first_event: called on the first event of this endpoint.
     :param on_data: called whenever bytes arrive.
     :param held: counts the parts of an event until it is whole; a stream with an event beyond the
         bound of a connection counts as broken off.
     """
-    splitter = EventSplitter()
-    before = held.size
-    timeout = first_event_timeout
-    begun = False
-    while True:
-        left = deadline - read_clock()
-        if left <= 0:
-            return StreamEnd.DEADLINE
-        wait = min(left, timeout) if resumable or not stream.begun else left
-        try:
-            async with asyncio.timeout(wait):
-                data = await reply.read_some()
-        except TimeoutError:
-            return StreamEnd.DEADLINE if wait >= left else StreamEnd.STALLED
-        except ReplyBrokenError:
-            return StreamEnd.BROKEN
-        if not data:
-            return (
-                StreamEnd.BROKEN
-                if splitter.has_partial_event or not stream.begun
-                else StreamEnd.COMPLETE
-            )
-        on_data()
-        events = splitter.feed(data)
-        if not events:
-            if not held.add(len(data)):
+
+    def __init__(
+        self,
+        reply: Reply,
+        on_data: Callable[[], None] = lambda: None,
+        held: Reservation = UNBOUNDED,
+    ) -> None:
+        self._reply = reply
+        self._on_data = on_data
+        self._held = held
+        self._partial_bytes = 0
+        self._splitter = EventSplitter()
+
+    async def read(self) -> list[Event] | StreamEnd:
+        """Return the next whole events, or how the stream ended.
+
+        A call that was cancelled loses nothing: the next one continues.
+        """
+        while True:
+            try:
+                data = await self._reply.read_some()
+            except ReplyBrokenError:
+                return StreamEnd.BROKEN
+            if not data:
+                partial = self._splitter.has_partial_event
+                return StreamEnd.BROKEN if partial else StreamEnd.COMPLETE
+            self._on_data()
+            events = self._splitter.feed(data)
+            if events:
+                self.release()
+                return events
+            self._partial_bytes += len(data)
+            if not self._held.add(len(data)):
                 return StreamEnd.BROKEN
-            continue
-        held.resize(before)
-        if not _is_contiguous(events, stream.last_event):
-            return StreamEnd.BROKEN
-        if not begun:
-            begun = True
-            on_first_event()
-        await _forward_events(events, reply, sink, stream)
-        timeout = gap_objective * STALL_OBJECTIVES
-
-
-def _is_contiguous(events: list[Event], last: int | None) -> bool:
-    """Return whether no event is missing, repeated or from another run."""
-    for event in events:
-        if event.number is not None:
-            if last is not None and event.number != last + 1:
-                return False
-            last = event.number
-    return True
 
+    def release(self) -> None:
+        """Release what is held of an event that is not whole."""
+        self._held.resize(self._held.size - self._partial_bytes)
+        self._partial_bytes = 0
 
-async def _forward_events(
+
+async def forward_events(
     events: list[Event], reply: Reply, sink: AnswerSink, stream: StreamProgress
 ) -> None:
+    """Send events to the caller.
+
+    The head is sent with the first whole event: until then the request can still be tried
+    elsewhere, or refused with its own status.
+    """
     if not stream.begun:
         await sink.begin(reply.status, reply.headers)
         stream.begun = True
--- a/packages/wrenloft-routing/tests/conftest.py
+++ b/packages/wrenloft-routing/tests/conftest.py
@@ -11,7 +11,10 @@
 
 @dataclass
 class FakeReply:
-    """An answer made of parts; an exception among them is raised in its place."""
+    """An answer made of parts; an exception among them is raised in its place.
+
+    A number is a pause in seconds. A read that is cancelled in it leaves the rest of it.
+    """
 
     parts: list[bytes | Exception | float]
     status: int = 200
@@ -38,7 +41,13 @@
         if isinstance(part, Exception):
             raise part
         if isinstance(part, float):
-            await asyncio.sleep(part)
+            loop = asyncio.get_running_loop()
+            ends_at = loop.time() + part
+            try:
+                await asyncio.sleep(part)
+            except asyncio.CancelledError:
+                self.parts.insert(0, ends_at - loop.time())
+                raise
             return await self.read_some()
         return part
 
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any, cast
 
@@ -126,7 +126,8 @@
         self.gate = Gate(self.endpoints, Random(1), version_seconds=8.0)
         self.proof = FreshnessProof(5.0)
         self.proof.record(read_clock())
-        budget = SharedRetryBudget(0.2, slack, 10.0, 1)
+        self.budget = budget = SharedRetryBudget(0.2, slack, 10.0, 1)
+        self.open_count = 0
         self.liveness = Liveness.REACHABLE
         self.crashes = CrashLedger()
         self.store = FakeStore()
@@ -180,6 +181,25 @@
             report = EngineReport(0, 0, 1, False, 1.0, span)
             self.endpoints.record_report(f"a{number}:1", report, read_clock())
 
+    def set_objective(self, seconds: float) -> None:
+        """Serve idempotent requests by a rule with another latency objective."""
+        rule = make_rule("safe", RuleKind.SAFE, PLAIN, latency_objective=seconds)
+        self.forwarder.table = replace(TABLE, rules=(rule,))
+
+    def use_up_budget(self) -> None:
+        """Withdraw all retries of the engines."""
+        while self.budget.withdraw(ENGINES, read_clock()):
+            pass
+
+    def count_retries(self) -> int:
+        """Return the retries left for the engines, without using them up."""
+        count = 0
+        while self.budget.withdraw(ENGINES, read_clock()):
+            count += 1
+        for _ in range(count):
+            self.budget.refund(ENGINES)
+        return count
+
     async def _probe(self, address: str) -> Liveness:
         return self.liveness
 
@@ -189,6 +209,13 @@
         if isinstance(outcome, float):
             await asyncio.sleep(outcome)
             return Lost("too late")
+        if isinstance(outcome, _DelayedReply):
+            self.open_count += 1
+            try:
+                await asyncio.sleep(outcome.seconds)
+            finally:
+                self.open_count -= 1
+            return outcome.reply
         return outcome() if isinstance(outcome, Callable) else outcome  # type: ignore[arg-type]
 
     async def send(self, rule: str, **changes: Any) -> Any:
@@ -1025,6 +1052,150 @@
         assert harness.sink.body == _events(0)
 
 
+class TestSilence:
+    """Tests of endpoints that fall silent for a moment and go on."""
+
+    async def test_silent_stream_goes_on_without_a_second_try_left(self) -> None:
+        """Guards against cutting a stream because the retry budget is empty."""
+        harness = Harness(FakeReply([_events(0), 0.3, _events(1)], is_stream=True), slack=0.0)
+        harness.use_up_budget()
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert len(harness.attempts) == 1
+
+    @pytest.mark.parametrize(
+        "refused",
+        [
+            Rejected("status 503", misdirected=False),
+            Lost("reset"),
+            FakeReply([b"failed"], status=500),
+            FakeReply([_events(5)], is_stream=True),
+            FakeReply([ReplyBrokenError("cut")], is_stream=True),
+            FakeReply([b"x"], genuine=False),
+        ],
+    )
+    async def test_silent_stream_goes_on_after_a_refused_resumption(self, refused: Any) -> None:
+        """Guards against cutting a stream because another endpoint does not resume it."""
+        harness = Harness(FakeReply([_events(0), 0.4, _events(1)], is_stream=True), refused)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert harness.attempts[1].last_event == 0
+
+    async def test_silent_stream_goes_on_where_no_endpoint_takes_it(self) -> None:
+        """Guards against cutting a stream because no other endpoint is left."""
+        harness = Harness(FakeReply([_events(0), 0.4, _events(1)], is_stream=True))
+        only = harness.endpoints.of_service(ENGINES)[0].endpoint
+        harness.endpoints.update([only], trusted=True)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+
+    async def test_retry_that_is_not_sent_is_returned_to_the_budget(self) -> None:
+        """Guards against retries that are lost where no endpoint can take them."""
+        harness = Harness(FakeReply([_events(0), 0.4, _events(1)], is_stream=True))
+        only = harness.endpoints.of_service(ENGINES)[0].endpoint
+        harness.endpoints.update([only], trusted=True)
+        before = harness.count_retries()
+        await harness.send("stream")
+        assert harness.count_retries() >= before
+
+    async def test_first_endpoint_to_go_on_wins_and_the_other_is_closed(self) -> None:
+        """Guards against two endpoints that work on one stream after one has gone on."""
+        first = FakeReply([_events(0), 0.3, _events(1), 0.05, _events(2)], is_stream=True)
+        second = FakeReply([0.5, _events(1, 2)], is_stream=True)
+        harness = Harness(first, second)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1, 2)
+        assert second.closed == [False]
+        assert second.parts
+
+    async def test_endpoint_that_resumes_a_stream_replaces_the_silent_one(self) -> None:
+        """Guards against events of the silent endpoint behind those of the other."""
+        first = FakeReply([_events(0), 0.3, _events(1, 2)], is_stream=True)
+        second = FakeReply([_events(1), 0.3, _events(2)], is_stream=True)
+        harness = Harness(first, second)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1, 2)
+        assert first.closed == [False]
+
+    async def test_stream_waits_for_both_where_both_are_silent(self) -> None:
+        """Guards against giving up a stream because the endpoint that resumes it is silent too."""
+        first = FakeReply([_events(0), 0.4, _events(1)], is_stream=True)
+        second = FakeReply([5.0], is_stream=True)
+        harness = Harness(first, second)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert second.closed == [False]
+
+    async def test_broken_first_endpoint_leaves_the_stream_to_the_second(self) -> None:
+        """Guards against ending a stream whose resumption is under way."""
+        first = FakeReply([_events(0), 0.25, ReplyBrokenError("reset")], is_stream=True)
+        second = FakeReply([0.3, _events(1)], is_stream=True)
+        harness = Harness(first, second)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+
+    @pytest.mark.parametrize("rule", ["once", "unsafe", "fixed"])
+    async def test_request_that_may_run_once_is_sent_once(self, rule: str) -> None:
+        """Guards against a second run of a request whose endpoint is silent."""
+        whole = FakeReply([b"ok"])
+        stream = FakeReply([0.3, _events(0), 0.3, _events(1)], is_stream=True)
+        harness = Harness(lambda: stream if rule == "fixed" else whole)
+        assert isinstance(await harness.send(rule), Done)
+        assert len(harness.attempts) == 1
+
+    async def test_silent_answer_is_taken_where_the_second_try_is_refused(self) -> None:
+        """Guards against a failure in place of an answer that comes a moment later."""
+        harness = Harness(
+            _DelayedReply(0.5, FakeReply([b"late"])), Rejected("status 503", misdirected=False)
+        )
+        harness.set_objective(0.02)
+        assert isinstance(await harness.send("safe"), Done)
+        assert harness.sink.body == b"late"
+        assert len(harness.attempts) == 2
+
+    async def test_second_answer_ends_the_silent_attempt(self) -> None:
+        """Guards against an endpoint that goes on working on an answered request."""
+        late = FakeReply([b"late"])
+        harness = Harness(_DelayedReply(0.6, late), FakeReply([b"ok"]))
+        harness.set_objective(0.02)
+        assert isinstance(await harness.send("safe"), Done)
+        assert harness.sink.body == b"ok"
+        await asyncio.sleep(0.01)
+        assert not harness.open_count
+
+    async def test_caller_that_leaves_ends_both_attempts(self) -> None:
+        """Guards against work that goes on at two endpoints for a caller that is gone."""
+        first = FakeReply([_events(0), 5.0], is_stream=True)
+        second = FakeReply([5.0], is_stream=True)
+        harness = Harness(first, second)
+        sending = asyncio.create_task(harness.send("stream"))
+        while len(harness.attempts) < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        sending.cancel()
+        await asyncio.wait([sending])
+        assert first.closed == second.closed == [False]
+        states = harness.endpoints.of_service(ENGINES)
+        assert not any(state.in_progress.total for state in states)
+
+    async def test_attempts_stay_limited_in_repeated_silence(self) -> None:
+        """Guards against more endpoints per request than its rule allows."""
+        first = FakeReply([_events(0), 0.3, _events(1), 0.3, _events(2)], is_stream=True)
+        second = FakeReply([5.0], is_stream=True)
+        harness = Harness(first, second)
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1, 2)
+        assert len(harness.attempts) == 2
+
+
+@dataclass
+class _DelayedReply:
+    """An answer whose head comes after some seconds."""
+
+    seconds: float
+    reply: FakeReply
+
+
 class TestFailedConnections:
     """Tests of streams whose endpoint can't be reached."""
 
