Keep an endpoint's failure until a retry does better

What callers saw: 502 of the entry node in place of the endpoint's own 500, where the retry was then refused or lost. Cause: the same class as with silence: the failure was read and dropped before the retry was certain of an answer.

Change: the body of a failure is read while the retry is made, and sent if nothing better comes. A body that is slow to arrive does not delay the retry.

Measured: test_failure_is_kept_until_a_retry_does_better failed on (502); the 114 tests of forwarding that were there pass.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
@@ -31,6 +31,7 @@
     FIRST_EVENT = "first event"
     GAP = "gap"
     BODY = "body"
+    FAILURE_BODY = "failure body"
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,7 +188,10 @@
     @property
     def all_silent(self) -> bool:
         """Whether none may be expected to answer soon."""
-        return self.choice is None and all(each.silent_since is not None for each in self.attempts)
+        return self.choice is None and all(
+            each.silent_since is not None or each.phase is Phase.FAILURE_BODY
+            for each in self.attempts
+        )
 
     def begin_choice(self, choose: Coroutine[Any, Any, Placed | Refused]) -> None:
         """Choose a further endpoint in the background."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -1,6 +1,5 @@
 """Handling of one caller's request, from its arrival to its final answer."""
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence, Set
 from contextlib import AsyncExitStack
@@ -66,6 +65,7 @@
     record_outcome,
 )
 from wrenloft_routing._request_progress import (
+    FailureAnswer,
     RequestProgress,
     build_placement_request,
 )
@@ -108,14 +108,12 @@
 """Remaining seconds below which a request is no longer sent: the round trip takes 8 ms, and a plain
 service works on a request for 20 ms."""
 
-_DRAIN_SECONDS = 0.03
-"""Longest wait for the rest of an answer that is discarded."""
-
 _DEADLINE_STEPS = {
     Phase.HEAD: "send",
     Phase.FIRST_EVENT: "stream",
     Phase.GAP: "stream",
     Phase.BODY: "read",
+    Phase.FAILURE_BODY: "read",
 }
 """Step of a request that its deadline ended, by what its first open attempt waited for."""
 
@@ -227,7 +225,7 @@
                 if outcome is None:
                     outcome = await self._follow(progress, attempts, sink)
                 if outcome is not None:
-                    return outcome
+                    return await self._conclude(progress, outcome, sink)
 
     async def _start_next(
         self, progress: RequestProgress, attempts: OpenAttempts
@@ -244,6 +242,17 @@
                 return None
             # Otherwise the update arrived while the request waited.
 
+    async def _conclude(
+        self, progress: RequestProgress, outcome: Outcome, sink: AnswerSink
+    ) -> Outcome:
+        """Send an endpoint's answer that was kept while others might have given a better one."""
+        failure = progress.failure
+        if isinstance(outcome, Done) or failure is None or progress.stream.begun:
+            return outcome
+        ATTEMPTS.labels("answered").inc()
+        await sink.send_whole(failure.status, failure.headers, failure.body)
+        return Done(failure.peer)
+
     async def _find_quarantine(self, progress: RequestProgress) -> AnyQuarantine | None:
         """Return the quarantine that forbids sending a request, ``None`` if it may be sent.
 
@@ -781,35 +790,29 @@
             )
             attempt.wait = attempt.events.read
             return None
-        if reply.status >= 500 and self._may_retry_failure(progress, attempts):
-            await self._retry_failure(progress, attempts, attempt, reply)
-            return None
         attempt.patience = inf
-        attempt.phase = Phase.BODY
-        await self._end_silence(progress, attempts, attempt)
+        if reply.status >= 500 and self._may_improve(progress, attempts):
+            attempt.phase = Phase.FAILURE_BODY
+        else:
+            attempt.phase = Phase.BODY
+            await self._end_silence(progress, attempts, attempt)
         claim = partial(self._keep_only, progress, attempts, attempt)
         attempt.wait = partial(read_whole, partial(relay_answer, reply, sink, progress, claim))
         return None
 
-    def _may_retry_failure(self, progress: RequestProgress, attempts: OpenAttempts) -> bool:
-        """Return whether another endpoint may answer a request that failed at one."""
-        if len(attempts.attempts) > 1 or attempts.choice is not None:
-            return True
-        allowed = self._can_retry(progress)
-        return allowed and self._budget.withdraw(progress.service.name, read_clock())
+    def _may_improve(self, progress: RequestProgress, attempts: OpenAttempts) -> bool:
+        """Return whether another endpoint may still answer a request that failed at one.
 
-    async def _retry_failure(
-        self,
-        progress: RequestProgress,
-        attempts: OpenAttempts,
-        attempt: AttemptProgress,
-        reply: Reply,
-    ) -> None:
-        ATTEMPTS.labels("failed").inc()
-        progress.tried.add(attempt.peer)
-        progress.may_have_run = True
-        await _drain(reply)
-        await attempts.drop(attempt)
+        Its answer is kept until then: a retry that was paid for may be refused.
+        """
+        if attempts.choice is not None or len(attempts.attempts) > 1:
+            return True
+        if not self._can_retry(progress):
+            return False
+        if not self._budget.withdraw(progress.service.name, read_clock()):
+            return False
+        attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+        return True
 
     async def _end_silence(
         self, progress: RequestProgress, attempts: OpenAttempts, attempt: AttemptProgress
@@ -931,6 +934,8 @@
         if not reply.framed and await self._detector.has_ended(attempt.state):
             reason = "endpoint ended with its answer"
             return await self._discard_reply(progress, attempts, attempt, reason)
+        if attempt.phase is Phase.FAILURE_BODY and result.body is not None:
+            return await self._keep_failure(progress, attempts, attempt, result.body)
         attempts.claim(attempt)
         await self._keep_only(progress, attempts, attempt)
         await self._release_connection(attempt, reply)
@@ -947,6 +952,26 @@
             await sink.send_whole(reply.status, reply.headers, result.body)
         return Done(attempt.peer)
 
+    async def _keep_failure(
+        self,
+        progress: RequestProgress,
+        attempts: OpenAttempts,
+        attempt: AttemptProgress,
+        body: bytes,
+    ) -> Outcome | None:
+        """Keep an endpoint's failure, to be sent if nothing better comes."""
+        reply = attempt.reply
+        assert reply is not None
+        ATTEMPTS.labels("failed").inc()
+        progress.may_have_run = True
+        progress.tried.add(attempt.peer)
+        progress.failure = FailureAnswer(reply.status, reply.headers, body, attempt.peer)
+        await reply.close(reusable=True)
+        await attempts.drop(attempt)
+        if attempts:
+            return None
+        return Unknown("read", f"status {reply.status}", attempt.peer)
+
     async def _discard_reply(
         self,
         progress: RequestProgress,
@@ -992,17 +1017,6 @@
             self._gate.record_first_event(progress.service.name, in_time=in_time)
 
 
-async def _drain(reply: Reply) -> None:
-    """Read a short answer to its end, so that its connection can be reused."""
-    try:
-        async with asyncio.timeout(_DRAIN_SECONDS):
-            while await reply.read_some():
-                pass
-            await reply.close(reusable=True)
-    except (ReplyBrokenError, TimeoutError):
-        return
-
-
 def _release_chain(placed: Placed) -> None:
     for stage in placed.chain[1:]:
         stage.state.downstream_requests -= 1
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -4,12 +4,22 @@
 
 from wrenloft_core import AgentId, ContentId, OrganisationName, read_clock
 from wrenloft_policy import Prediction, Workload
-from wrenloft_routing._exchange import CallerRequest
+from wrenloft_routing._exchange import CallerRequest, Headers
 from wrenloft_routing._gate import PlacementRequest
 from wrenloft_routing._streams import StreamProgress
 from wrenloft_routing._table import AllowedRegions, BackendService, Rule
 
 
+@dataclass(frozen=True, slots=True)
+class FailureAnswer:
+    """An endpoint's complete answer with a failure, sent if no other endpoint does better."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    peer: str
+
+
 @dataclass(slots=True)
 class RequestProgress:
     """The state of one request.
@@ -42,6 +52,7 @@
     peer: str = ""
     stream: StreamProgress = field(default_factory=StreamProgress)
     answer_begun: bool = False
+    failure: FailureAnswer | None = None
 
     @property
     def workload(self) -> Workload:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -1187,6 +1187,22 @@
         assert harness.sink.body == _events(0, 1, 2)
         assert len(harness.attempts) == 2
 
+    async def test_failure_is_kept_until_a_retry_does_better(self) -> None:
+        """Guards against replacing an endpoint's failure by one of this node's."""
+        harness = Harness(
+            FakeReply([b"sorry"], status=500), Rejected("status 503", misdirected=False)
+        )
+        assert isinstance(await harness.send("safe"), Done)
+        assert (harness.sink.status, harness.sink.body) == (500, b"sorry")
+
+    async def test_slow_failure_does_not_delay_the_retry(self) -> None:
+        """Guards against waiting for the body of a failure that nobody needs."""
+        failure = FakeReply([5.0, b"sorry"], status=500)
+        harness = Harness(failure, FakeReply([b"ok"]))
+        assert isinstance(await harness.send("safe"), Done)
+        assert harness.sink.body == b"ok"
+        assert failure.closed == [False]
+
 
 @dataclass
 class _DelayedReply:
