Test faults of one of two open attempts, and what silences leave behind

The second attempt fails, ignores its resumption or is reset while the first endpoint is silent; the silent one is reset while the second is waited for; all connections go on at one moment with two attempts open; all places are taken by silent attempts; a caller that reads slowly. The endpoints' framings differ where answers have a length or end with their connection.

--- a/tests/platform/silent_endpoints.py
+++ b/tests/platform/silent_endpoints.py
@@ -1,6 +1,8 @@
 """Stand-in of an endpoint that is silent for some time in the middle of its answers."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -52,6 +54,7 @@
     :param send: the only one of each request's sends, over all endpoints, that has it; the first
         one is 1; ``None`` for all.
     :param prefix: beginning of the ids of the requests with it.
+    :param breaks: whether the connection is reset then, in place of going on.
     """
 
     phase: Phase
@@ -60,6 +63,7 @@
     requests: int | None = None
     send: int | None = None
     prefix: str = ""
+    breaks: bool = False
 
     def applies_to(self, phase: Phase, index: int, served: "Served") -> bool:
         """Return whether it is due before a part of an answer."""
@@ -83,6 +87,7 @@
     :param arrived: time on the loop's clock.
     :param written: bytes of the answer, its head and framing included.
     :param is_complete: whether the answer, or rejection, was written to its end.
+    :param is_broken: whether the endpoint reset the connection.
     :param closed_at: when the other side had closed the connection of an incomplete answer.
     """
 
@@ -97,6 +102,7 @@
     written: int = 0
     is_rejected: bool = False
     is_complete: bool = False
+    is_broken: bool = False
     closed_at: float | None = None
 
     @property
@@ -107,17 +113,25 @@
     @property
     def is_open(self) -> bool:
         """Whether the endpoint still works on it."""
-        return not self.is_complete and self.closed_at is None
+        return not self.is_complete and not self.is_broken and self.closed_at is None
 
 
-def make_event(request_id: str, number: int) -> bytes:
-    """Return one event of a stream, the same at each endpoint."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+class _BreakError(Exception):
+    """The endpoint is to reset the connection."""
 
 
-def make_stream(request_id: str, events: int) -> bytes:
+def make_event(request_id: str, number: int, size: int = 0) -> bytes:
+    """Return one event of a stream, the same at each endpoint.
+
+    :param size: bytes to which its text is filled up.
+    """
+    text = f"{request_id} {number} ".ljust(size, ".")
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+def make_stream(request_id: str, events: int, size: int = 0) -> bytes:
     """Return the body of a whole stream."""
-    return b"".join(make_event(request_id, number) for number in range(events))
+    return b"".join(make_event(request_id, number, size) for number in range(events))
 
 
 def make_body(endpoint: str, request_id: str, size: int = 0) -> bytes:
@@ -136,9 +150,13 @@
     :param events: number of events of each stream.
     :param pace: seconds between two events.
     :param silences: all of them apply.
-    :param statuses: status of a whole answer by the number of the request's sends, else 200.
+    :param statuses: status by the number of the request's sends, else 200; other answers than
+        successes are whole.
     :param rejected_sends: numbers of the sends of each request that are rejected.
+    :param restarted_sends: numbers of the sends of each request whose streams begin with the first
+        event, whatever the request says.
     :param body_size: bytes to which the body of a whole answer is filled up.
+    :param event_size: bytes to which the text of an event is filled up.
     :param is_rejecting: whether it rejects all requests.
     """
 
@@ -150,7 +168,9 @@
     framing: Framing = Framing.CHUNKED
     statuses: dict[int, int] = field(default_factory=dict)
     rejected_sends: frozenset[int] = frozenset()
+    restarted_sends: frozenset[int] = frozenset()
     body_size: int = 0
+    event_size: int = 0
     is_rejecting: bool = False
     address: str = ""
     _flowing: asyncio.Event = field(default_factory=asyncio.Event)
@@ -210,6 +230,10 @@
                 writer.write(data)
                 served.written += len(data)
                 await writer.drain()
+        except _BreakError:
+            served.is_broken = True
+            _reset(writer)
+            return False
         except ConnectionError:
             served.closed_at = asyncio.get_running_loop().time()
             raise
@@ -234,11 +258,13 @@
 
     def _make_parts(self, served: Served) -> Iterator[tuple[Phase, int, bytes]]:
         """Yield the parts of an answer, each with the phase before it."""
-        if _is_stream(served):
-            yield Phase.HEAD, 0, self._make_head(served, 200, "text/event-stream")
-            first = 0 if served.last_event is None else served.last_event + 1
+        status = self.statuses.get(served.send, 200)
+        if _is_stream(served) and status == 200:
+            yield Phase.HEAD, 0, self._make_head(served, status, "text/event-stream")
+            is_restarted = served.last_event is None or served.send in self.restarted_sends
+            first = 0 if is_restarted else (served.last_event or 0) + 1
             for index, number in enumerate(range(first, self.events)):
-                event = make_event(served.request_id, number)
+                event = make_event(served.request_id, number, self.event_size)
                 half = len(event) // 2
                 phase = Phase.NEXT_EVENT if index else Phase.FIRST_PART
                 yield phase, index, self._frame(served, event[:half])
@@ -246,7 +272,6 @@
         else:
             body = make_body(self.name, served.request_id, self.body_size)
             half = len(body) // 2
-            status = self.statuses.get(served.send, 200)
             yield Phase.HEAD, 0, self._make_head(served, status, "text/plain", len(body))
             yield Phase.FIRST_PART, 0, self._frame(served, body[:half])
             yield Phase.INSIDE_BODY, 0, self._frame(served, body[half:])
@@ -281,17 +306,28 @@
         """Wait until a part is due.
 
         :raises ConnectionError: if the other side closed the connection.
+        :raises _BreakError: if the connection is to be reset.
         """
         loop = asyncio.get_running_loop()
+        silences = [each for each in self.silences if each.applies_to(phase, index, served)]
         due = loop.time() + (self.pace if phase is Phase.NEXT_EVENT else 0.0)
-        due += sum(each.seconds for each in self.silences if each.applies_to(phase, index, served))
+        due += sum(each.seconds for each in silences)
         while True:
             if reader.at_eof() or reader.exception() is not None:
                 raise ConnectionError("closed by the other side")
             if loop.time() >= due and self._flowing.is_set():
+                if any(each.breaks for each in silences):
+                    raise _BreakError
                 return
             await asyncio.sleep(_POLL_SECONDS)
 
 
 def _is_stream(served: Served) -> bool:
     return "stream" in served.path
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close with a reset in place of a clean end."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -109,11 +109,13 @@
     """An entry node with its store and endpoints.
 
     :param path: of the settings file.
+    :param slots: of each endpoint.
     :param log: what the endpoints got.
     """
 
     store: StandinStore
     path: Path
+    slots: int = 90
     log: list[Served] = field(default_factory=list)
     endpoints: list[SilentEndpoint] = field(default_factory=list)
     _entry: Entry | None = None
@@ -135,7 +137,8 @@
 
     def register(self, endpoint: SilentEndpoint, state: str = "ready") -> None:
         """Put an endpoint into the store's list."""
-        fields = {"service": "plain", "address": endpoint.address, "zone": "z1", "slots": 90}
+        fields = {"service": "plain", "address": endpoint.address, "zone": "z1"}
+        fields |= {"slots": self.slots}
         key = f"servers/{endpoint.name}"
         sequence = 1 if key not in self.store.items else 2
         self.store.put(key, {**fields, "state": state, "sequence": sequence})
@@ -244,9 +247,10 @@
         endpoint = answer.stamp.removesuffix(f"-{request_id}")
         if endpoint not in [each.endpoint for each in self.log if each.request_id == request_id]:
             return f"stamp {answer.stamp!r}"
-        size = self.endpoints[0].body_size
-        whole = make_body(endpoint, request_id, size)
-        expected = make_stream(request_id, EVENTS) if request.is_stream else whole
+        shape = self.endpoints[0]
+        expected = make_body(endpoint, request_id, shape.body_size)
+        if request.is_stream:
+            expected = make_stream(request_id, EVENTS, shape.event_size)
         if answer.body != expected:
             return f"other body {answer.body[:300]!r}"
         return None
@@ -303,36 +307,44 @@
 
 
 @pytest.mark.parametrize(
-    ("framing", "bounds"),
+    ("framings", "bounds"),
     [
-        (Framing.CHUNKED, {}),
-        (Framing.CHUNKED, LARGE_BUDGET),
-        (Framing.LENGTH, LARGE_BUDGET),
-        (Framing.CLOSE, {}),
+        ((Framing.CHUNKED, Framing.CHUNKED), {}),
+        ((Framing.CHUNKED, Framing.CHUNKED), LARGE_BUDGET),
+        ((Framing.LENGTH, Framing.CLOSE), {}),
+        ((Framing.LENGTH, Framing.CLOSE), LARGE_BUDGET),
     ],
 )
 async def test_answers_survive_silence_in_each_phase(
-    stack: AsyncExitStack, site: Site, framing: Framing, bounds: dict[str, float]
+    stack: AsyncExitStack, site: Site, framings: Sequence[Framing], bounds: dict[str, float]
 ) -> None:
     """Guards against answers that are taken away while both of their endpoints are silent."""
     await site.start(stack, **bounds)
-    site.set(silences=_make_silences(), framing=framing, body_size=100_000)
+    site.set(silences=_make_silences(), body_size=100_000)
+    for endpoint, framing in zip(site.endpoints, framings, strict=True):
+        endpoint.framing = framing
     await site.check(site.begin(_make_requests(), deadline_ms=3000))
 
 
 async def test_answers_survive_silence_of_all_connections_at_one_moment(
     stack: AsyncExitStack, site: Site
 ) -> None:
-    """Guards against answers that end because all endpoints stop for a moment."""
-    await site.start(stack)
+    """Guards against answers of two endpoints that go on at once and are mixed.
+
+    Second attempts have been made when all connections go on.
+    """
+    await site.start(stack, **LARGE_BUDGET)
     site.set(pace=0.2)
-    asked = site.begin([Request("stream", f"s{number}") for number in range(16)])
+    streams = [Request("stream", f"s{number}") for number in range(16)]
+    asked = site.begin(streams)
     await site.wait_arrived(len(asked))
     await asyncio.sleep(0.3)
     for endpoint in site.endpoints:
         endpoint.hold()
-    asked |= site.begin(_make_requests([Phase.HEAD]))
-    await asyncio.sleep(SILENCE_SECONDS)
+    others = _make_requests([Phase.HEAD])
+    asked |= site.begin(others, deadline_ms=3000)
+    await site.wait_arrived(2 * len(streams) + len(others))
+    await asyncio.sleep(0.2)
     for endpoint in site.endpoints:
         endpoint.release()
     await site.check(asked)
@@ -352,6 +364,81 @@
     await site.check(asked)
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"statuses": {2: 500}},
+        {"restarted_sends": frozenset({2})},
+        {"silences": [Silence(Phase.HEAD, 0.1, send=2, breaks=True)]},
+        {"silences": [Silence(Phase.FIRST_PART, 0.1, send=2, breaks=True)]},
+    ],
+    ids=["failure", "no resumption", "broken before the head", "broken behind the head"],
+)
+async def test_silent_attempt_survives_a_fault_of_the_second_one(
+    stack: AsyncExitStack, site: Site, fault: dict[str, Any]
+) -> None:
+    """Guards against ending a silent attempt with a second one that gives no right answer."""
+    await site.start(stack, **LARGE_BUDGET)
+    own = fault.get("silences", [])
+    site.set(**{**fault, "silences": [*_make_silences(send=1), *own]})
+    requests = _make_requests(STREAM_PHASES[1:], ("stream", "keyed-stream", "fixed-stream"))
+    if "restarted_sends" not in fault:  # before the first event nothing is resumed
+        requests += _make_requests([Phase.HEAD])
+    await site.check(site.begin(requests, deadline_ms=3000))
+    assert any(each.send == 2 for each in site.log), "no second attempt"
+
+
+async def test_second_attempt_survives_a_break_of_the_silent_one(
+    stack: AsyncExitStack, site: Site
+) -> None:
+    """Guards against ending a request with its silent attempt while another one is open."""
+    await site.start(stack, **LARGE_BUDGET)
+    breaks = [Silence(each, 1.5, send=1, prefix=f"{each.name}-", breaks=True) for each in Phase]
+    site.set(silences=[*breaks, Silence(Phase.HEAD, 0.8, send=2)])
+    requests = _make_requests(STREAM_PHASES, ("stream", "keyed-stream"))
+    requests += _make_requests([Phase.HEAD], ("safe", "keyed"))
+    await site.check(site.begin(requests, deadline_ms=4000))
+    assert sum(each.is_broken for each in site.log) == len(requests)
+
+
+async def test_capacity_returns_after_silences(stack: AsyncExitStack, site: Site) -> None:
+    """Guards against places of attempts, or of waiting second ones, that are never given back.
+
+    All places are taken by silent attempts, so that second attempts wait for one.
+    """
+    site.slots = 6
+    await site.start(stack, **LARGE_BUDGET)
+    for turn in range(3):
+        site.set(silences=[Silence(Phase.NEXT_EVENT, 1.1, send=1)])
+        await site.check(site.begin([Request("stream", f"s{turn}-{n}") for n in range(12)]))
+    site.set(silences=[])
+    await site.check(site.begin([Request("stream", f"after-{n}") for n in range(12)]))
+    after = [each for each in site.log if each.request_id.startswith("after")]
+    assert len(after) == 12
+
+
+async def test_slow_caller_is_no_silence_of_its_endpoint(stack: AsyncExitStack, site: Site) -> None:
+    """Guards against a second attempt since a caller doesn't read what its endpoint writes."""
+    await site.start(stack, **LARGE_BUDGET)
+    size = 4_000_000
+    site.set(event_size=size)
+    host, _, port = site.entry.settings["front"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /stream/x HTTP/1.0\r\nHost: shop.example\r\nX-Attempt-Id: slow\r\n"
+        b"X-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n"
+    )
+    await site.wait_arrived(1)
+    await asyncio.sleep(1.6)
+    (served,) = site.log
+    assert served.is_open, "the caller's connection holds the whole stream"
+    async with asyncio.timeout(10):
+        answer = await reader.read()
+    writer.close()
+    assert answer.partition(b"\r\n\r\n")[2] == make_stream("slow", EVENTS, size)
+    assert len(site.log) == 1
+
+
 async def test_answers_survive_silence_with_one_attempt(stack: AsyncExitStack, site: Site) -> None:
     """Guards against ending the only attempt that a route allows."""
     await site.start(stack, _configure(maxAttempts=1), **LARGE_BUDGET)
@@ -366,11 +453,11 @@
     """
     await site.start(stack, **LARGE_BUDGET)
     first = _make_silences(FOR_GOOD_SECONDS, send=1)
-    second = [Silence(Phase.HEAD, SILENCE_SECONDS, send=2)]
+    second = [Silence(Phase.HEAD, 0.8, send=2)]
     site.set(silences=first + second)
     requests = _make_requests(STREAM_PHASES, ("stream", "keyed-stream"))
     requests += _make_requests([Phase.HEAD], ("safe", "keyed"))
-    answers = await site.check(site.begin(requests))
+    answers = await site.check(site.begin(requests, deadline_ms=4000))
     assert len(site.log) == 2 * len(answers)
 
 
@@ -386,7 +473,7 @@
         ]
     )
     requests = [Request(route, f"{route}-{n}") for route in ("stream", "safe") for n in range(4)]
-    await site.check(site.begin(requests), max_attempts=3)
+    await site.check(site.begin(requests, deadline_ms=4000), max_attempts=3)
     assert len(site.log) == 3 * len(requests)
     assert all(each.closed_at is not None for each in site.log if each.send < 3)
 
@@ -619,11 +706,11 @@
     await site.wait_closed()
 
 
-@pytest.mark.parametrize("framing", [Framing.CHUNKED, Framing.CLOSE])
-async def test_callers_without_chunks(stack: AsyncExitStack, site: Site, framing: Framing) -> None:
+async def test_callers_without_chunks(stack: AsyncExitStack, site: Site) -> None:
     """Guards against answers to callers of HTTP/1.0 that end during a silence."""
     await site.start(stack, **LARGE_BUDGET)
-    site.set(silences=_make_silences(), framing=framing)
+    site.set(silences=_make_silences())
+    site.endpoints[0].framing = Framing.CLOSE
     host, _, port = site.entry.settings["front"].rpartition(":")
 
     async def ask(request: Request) -> bytes:
