Test requests that come during silences, and random silences

Whole answers are asked for while the streams of all endpoints are silent; and 60 requests of random kinds meet random silences, rejections of second attempts, changes of the configuration and an endpoint that leaves. Health checks are held with everything else.

--- a/tests/platform/silent_endpoints.py
+++ b/tests/platform/silent_endpoints.py
@@ -217,6 +217,7 @@
         headers = {k.lower(): v for k, _, v in (each.partition(": ") for each in rest)}
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         if "x-attempt-id" not in headers:  # a health check
+            await self._flowing.wait()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return True
         served = self._record(line.split()[1], headers, body)
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
@@ -139,9 +140,8 @@
         """Put an endpoint into the store's list."""
         fields = {"service": "plain", "address": endpoint.address, "zone": "z1"}
         fields |= {"slots": self.slots}
-        key = f"servers/{endpoint.name}"
-        sequence = 1 if key not in self.store.items else 2
-        self.store.put(key, {**fields, "state": state, "sequence": sequence})
+        sequence = self.store.revision  # rises with each change
+        self.store.put(f"servers/{endpoint.name}", {**fields, "state": state, "sequence": sequence})
 
     async def start(
         self, stack: AsyncExitStack, configuration: dict[str, Any] | None = None, **bounds: float
@@ -417,6 +417,59 @@
     assert len(after) == 12
 
 
+async def test_requests_that_come_during_a_silence(stack: AsyncExitStack, site: Site) -> None:
+    """Guards against refusing requests since the streams of all endpoints are silent."""
+    await site.start(stack, **LARGE_BUDGET)
+    site.set(silences=[Silence(Phase.NEXT_EVENT, 2.0, prefix="s")])
+    asked = site.begin([Request("stream", f"s{number}") for number in range(8)])
+    await site.wait_arrived(len(asked))
+    for turn in range(12):
+        await asyncio.sleep(0.15)
+        asked |= site.begin([Request(route, f"{turn}-{route}") for route in WHOLE_ROUTES])
+    await site.check(asked)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_random_silences(stack: AsyncExitStack, site: Site, seed: int) -> None:
+    """Guards against answers that are lost in an order of events that no other test has.
+
+    Endpoints are silent for up to 1.3 s in random phases and reject some second attempts; one of
+    them leaves, and the configuration changes.
+    """
+    random = Random(seed)
+    site.endpoints.append(SilentEndpoint("i-3", site.log, events=EVENTS))
+    await site.start(stack, **random.choice([{}, LARGE_BUDGET]))
+    requests = [
+        Request(random.choice(STREAM_ROUTES + WHOLE_ROUTES), f"{number:02}-{seed}")
+        for number in range(60)
+    ]
+    site.set(
+        silences=[
+            Silence(
+                random.choice(STREAM_PHASES if request.is_stream else WHOLE_PHASES),
+                random.uniform(0.3, SILENCE_SECONDS),
+                index=random.randrange(EVENTS),
+                send=send,
+                prefix=request.request_id,
+            )
+            for request in requests
+            for send in (1, 1, 2)
+        ]
+    )
+    leaves_after = random.randrange(len(requests))
+    asked: dict[Request, asyncio.Task[Answer]] = {}
+    for begin in range(0, len(requests), 6):
+        asked |= site.begin(requests[begin : begin + 6])
+        await asyncio.sleep(0.1)
+        site.store.put("op/config", _configure(4 + begin, [f"added-{begin}"]))
+        for each in site.endpoints:
+            each.rejected_sends = random.choice([frozenset(), frozenset({2})])
+        if begin >= leaves_after:
+            site.register(site.endpoints[0], "draining")
+        await asyncio.sleep(random.uniform(0.0, 0.5))
+    await site.check(asked)
+
+
 async def test_slow_caller_is_no_silence_of_its_endpoint(stack: AsyncExitStack, site: Site) -> None:
     """Guards against a second attempt since a caller doesn't read what its endpoint writes."""
     await site.start(stack, **LARGE_BUDGET)
