Answer requests that were read behind one whose answer closes the connection

aiohttp closes a connection after an answer with "Connection: close" (the stop, 413, 408, 503) and drops the requests that it has read behind it, without a word to their callers.

A caller's connection is now closed only once no read request waits on it. While one waits, an answer of a stopping node doesn't announce the close; where it was announced already, requests behind it are refused with 503 as not run, as their callers may take them for unread. An answer that ends with its connection stays the last one.

--- /dev/null
+++ b/tests/platform/test_stopping.py
@@ -0,0 +1,194 @@
+"""Tests of answers that are due when an entry node stops, reloads or closes a connection."""
+
+import asyncio
+import json
+import re
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession
+
+from .conftest import (
+    StandinEndpoint,
+    StandinStore,
+    stream_response,
+)
+from .test_programs import CONFIGURATION, Entry, start_program, write_settings
+
+PATIENCE_SECONDS = 20.0
+"""Longest wait of a test for something that must happen."""
+
+GRACE_SECONDS = 4.0
+
+SMALL_RECEIVE_BUFFER = 32768
+
+ROUTES: list[dict[str, Any]] = [
+    {**CONFIGURATION["routes"][0], "public": True, "timeoutMs": 60_000},
+    {**CONFIGURATION["routes"][1], "timeoutMs": 60_000},
+]
+
+Start = Callable[..., Awaitable[Entry]]
+
+
+@pytest.fixture
+def start(
+    stack: AsyncExitStack, store: StandinStore, endpoint: StandinEndpoint, tmp_path: Path
+) -> Start:
+    """Start an entry node with one endpoint and long timeouts."""
+
+    async def start_entry(**settings: Any) -> Entry:
+        store.put("op/config", {**CONFIGURATION, "routes": ROUTES})
+        fields = {"service": "plain", "address": endpoint.address, "zone": "z1", "slots": 8}
+        store.put("servers/i-1", {**fields, "state": "ready", "sequence": 1})
+        path = tmp_path / "settings.toml"
+        bounds = {"bounds": {"grace": GRACE_SECONDS, "revoke": 5.0}}
+        written = write_settings(path, store.address, **{**bounds, **settings})
+        process = await start_program("entry.py", path)
+        stack.push_async_callback(_kill, process)
+        client = await stack.enter_async_context(ClientSession())
+        entry = Entry(process, written, client)
+        await entry.wait_ready()
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while (await entry.send("/once/x"))[0] != 200:
+                await asyncio.sleep(0.1)
+        endpoint.received.clear()
+        return entry
+
+    return start_entry
+
+
+async def _kill(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.kill()
+        await process.communicate()
+
+
+class Caller:
+    """A caller's connection on which a test writes and reads bytes."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(
+        cls, stack: AsyncExitStack, entry: Entry, receive_buffer: int | None = None
+    ) -> "Caller":
+        """Connect to the front.
+
+        :param receive_buffer: bytes that the kernel holds, ``None`` for its default.
+        """
+        host, _, port = entry.settings["front"].rpartition(":")
+        connection = socket.socket()
+        if receive_buffer is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=connection)
+        stack.callback(writer.close)
+        return cls(reader, writer)
+
+    def send(self, path: str, request_id: str, *, version: str = "1.1", body: bytes = b"") -> None:
+        """Write a request, with a stated length of at least its body's."""
+        self.writer.write(build_request(path, request_id, version=version, body=body))
+
+    async def read_rest(self) -> bytes:
+        """Read to the end of the connection.
+
+        :raises ConnectionResetError: if it was reset.
+        """
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            return await self.reader.read()
+
+
+def build_request(
+    path: str, request_id: str, *, version: str = "1.1", body: bytes = b"", length: int = 0
+) -> bytes:
+    """Return a request; ``length`` states a longer body than there is."""
+    head = (
+        f"POST {path} HTTP/{version}\r\nHost: shop.example\r\nX-Attempt-Id: {request_id}\r\n"
+        f"Content-Length: {max(length, len(body))}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def list_statuses(data: bytes) -> list[int]:
+    """Return the statuses of the answers on a connection."""
+    return [int(each) for each in re.findall(rb"HTTP/1\.[01] (\d{3}) ", data)]
+
+
+async def wait_until(is_met: Callable[[], Any]) -> None:
+    """Wait until something is true."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not is_met():
+            await asyncio.sleep(0.02)
+
+
+async def stop(entry: Entry) -> list[dict[str, Any]]:
+    """Wait for the process to end by itself, and return its log."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        out, _ = await entry.process.communicate()
+    assert entry.process.returncode == 0
+    return [json.loads(line) for line in out.decode().splitlines()]
+
+
+def list_incomplete(log: list[dict[str, Any]]) -> dict[str, str]:
+    """Return the reasons of connections that ended without a complete answer, by request."""
+    found = [each for each in log if each["message"] == "answer incomplete"]
+    assert len({each["request"] for each in found}) == len(found), "recorded twice"
+    return {each["request"]: each["reason"] for each in found}
+
+
+class TestWaitingRequests:
+    """Tests of requests that were read while others of the same connection are in progress."""
+
+    async def test_requests_behind_one_in_progress_at_the_stop_are_served(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against an answer that closes the connection on requests that were read."""
+        entry = await start()
+        endpoint.work = 0.6
+        caller = await Caller.open(stack, entry)
+        for number in range(3):
+            caller.send("/once/x", f"r{number}")
+        await wait_until(lambda: endpoint.received)
+        entry.process.send_signal(signal.SIGTERM)
+        answer = await caller.read_rest()
+        assert list_statuses(answer) == [200, 200, 200]
+        *before, last = answer.lower().split(b"http/1.1 ")[1:]
+        assert b"connection: close" in last
+        assert not any(b"connection: close" in each for each in before)
+        assert list_incomplete(await stop(entry)) == {}
+
+    async def test_request_behind_a_rejected_body_is_refused_as_not_run(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against running a request that its caller takes for unread, or dropping it."""
+        entry = await start()
+        caller = await Caller.open(stack, entry)
+        caller.send("/once/x", "long", body=b"b" * 1001)
+        caller.send("/once/x", "behind")
+        answer = await caller.read_rest()
+        assert list_statuses(answer) == [413, 503]
+        assert b"retry-after: 0\r\n" in answer.lower()
+        assert not endpoint.received
+
+    async def test_request_behind_an_unframed_stream_does_not_end_up_in_it(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a further answer that its caller takes for the rest of a stream."""
+        entry = await start()
+        endpoint.pause = 0.2
+        endpoint.answers = [stream_response(*(b"id: %d\n\n" % n for n in range(3)))]
+        caller = await Caller.open(stack, entry)
+        request = build_request("/stream/x", "r0", version="1.0")
+        caller.writer.write(request.replace(b"\r\n\r\n", b"\r\nConnection: keep-alive\r\n\r\n"))
+        await wait_until(lambda: endpoint.received)
+        caller.send("/once/x", "r1", version="1.0")
+        assert (await caller.read_rest()).endswith(b"id: 2\n\n")
+        assert len(endpoint.received) == 1
