Give requests in progress at the end of the grace period a final answer

The end of the drain closed callers' connections under requests in progress, and under answers whose rest was still in this process's buffers.

At the cutoff the front now ends the work on each request: one that an endpoint may be running gets 502, any other 503 as not run, a begun stream is aborted and recorded as stopped. The forwarder needs no change; the sender of attempts counts those that may have run.

--- a/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/__init__.py
@@ -41,6 +41,7 @@
     Rejected,
     Reply,
     ReplyBrokenError,
+    Sendings,
 )
 from wrenloft_routing._failure_detector import EndpointFailure, FailureDetector, FailureSign
 from wrenloft_routing._forward import Forwarder
@@ -221,6 +222,7 @@
     "SegmentLedger",
     "SegmentQuarantine",
     "SegmentStore",
+    "Sendings",
     "SharedRetryBudget",
     "SharedSnapshot",
     "SnapshotMirror",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -1,7 +1,7 @@
 """The forwarder's interfaces to a caller's connection and to connections to endpoints."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from wrenloft_core import OrganisationName, RequestId, SegmentId
@@ -19,6 +19,16 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclass(slots=True, eq=False)
+class Sendings:
+    """The attempts of one request that may have run.
+
+    :param count: attempts, except those that were not sent or that their endpoints rejected.
+    """
+
+    count: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """One caller's request as it was read.
@@ -34,6 +44,7 @@
     :param held: what this node holds for the request.
     :param takes_chunks: whether the caller understands an answer whose length is not stated.
     :param segments: of its prompt that other requests may share; its last one is not among them.
+    :param sendings: updated by the sender of attempts.
     """
 
     request_id: RequestId
@@ -52,6 +63,7 @@
     held: Reservation = UNBOUNDED
     takes_chunks: bool = True
     segments: frozenset[SegmentId] = frozenset()
+    sendings: Sendings = field(default_factory=Sendings, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -16,6 +16,7 @@
 from .conftest import (
     StandinEndpoint,
     StandinStore,
+    full_response,
     stream_response,
 )
 from .test_programs import CONFIGURATION, Entry, start_program, write_settings
@@ -144,6 +145,29 @@
     return {each["request"]: each["reason"] for each in found}
 
 
+class TestCutoff:
+    """Tests of requests that are in progress at the end of the grace period."""
+
+    async def test_requests_without_an_answer_get_a_final_one(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against closing a connection on which no byte of an answer was sent."""
+        entry = await start()
+        endpoint.work = 60.0
+        sent = await Caller.open(stack, entry)
+        sent.send("/once/x", "sent")
+        await wait_until(lambda: endpoint.received)
+        entry.process.send_signal(signal.SIGTERM)
+        unfinished = await Caller.open(stack, entry)
+        unfinished.writer.write(build_request("/once/x", "unfinished", body=b"b", length=9))
+        answers = await asyncio.gather(sent.read_rest(), unfinished.read_rest())
+        assert [list_statuses(each) for each in answers] == [[502], [503]]
+        assert b"retry-after: 0\r\n" in answers[1].lower()
+        assert b"retry-after" not in answers[0].lower()
+        assert list_incomplete(await stop(entry)) == {}
+        assert len(endpoint.received) == 1
+
+
 class TestWaitingRequests:
     """Tests of requests that were read while others of the same connection are in progress."""
 
@@ -165,6 +189,21 @@
         assert not any(b"connection: close" in each for each in before)
         assert list_incomplete(await stop(entry)) == {}
 
+    async def test_requests_behind_a_long_one_at_the_cutoff_are_refused_as_not_run(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against requests that vanish because the one before took all of the time."""
+        entry = await start()
+        endpoint.work = 60.0
+        caller = await Caller.open(stack, entry)
+        for number in range(3):
+            caller.send("/once/x", f"r{number}")
+        await wait_until(lambda: endpoint.received)
+        entry.process.send_signal(signal.SIGTERM)
+        assert list_statuses(await caller.read_rest()) == [502, 503, 503]
+        await stop(entry)
+        assert len(endpoint.received) == 1
+
     async def test_request_behind_a_rejected_body_is_refused_as_not_run(
         self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
     ) -> None:
@@ -192,3 +231,22 @@
         caller.send("/once/x", "r1", version="1.0")
         assert (await caller.read_rest()).endswith(b"id: 2\n\n")
         assert len(endpoint.received) == 1
+
+
+class TestCallers:
+    """Tests of callers that leave, or that take their answers slowly."""
+
+    async def test_answers_that_callers_have_not_taken_are_sent_before_the_exit(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a process that exits with the rest of an answer in its buffers."""
+        entry = await start(contracts=["pressure"], memory_mb=2000, bounds={"grace": 7.0})
+        body = bytes(1_000_000)
+        endpoint.answers = [full_response(body)]
+        caller = await Caller.open(stack, entry, receive_buffer=SMALL_RECEIVE_BUFFER)
+        caller.send("/once/x", "large")
+        await wait_until(lambda: endpoint.received)
+        entry.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(3.5)  # longer than the node accepts requests
+        assert len(await caller.read_rest()) > len(body)
+        assert list_incomplete(await stop(entry)) == {}
