Never let an aborted answer look complete

A stream to a caller of HTTP/1.0 ends with its connection, and aborting the connection looked like that end. An OSError inside the forwarder, with the caller still connected, ended a begun chunked stream as complete; any other error left its connection to be closed without a record.

--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -8,12 +8,18 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from aiohttp import ClientSession
 
+from wrenloft_platform._front import FrontHandler, FrontSink
+from wrenloft_platform._serve import start_listener
+from wrenloft_routing import CallerRequest, Forwarder, IncompleteReason
+from wrenloft_routing._incomplete_answers import INCOMPLETE_ANSWERS
+
 from .conftest import (
+    LOOPBACK,
     StandinEndpoint,
     StandinStore,
     full_response,
@@ -167,6 +173,32 @@
         assert list_incomplete(await stop(entry)) == {}
         assert len(endpoint.received) == 1
 
+    async def test_begun_streams_never_look_complete(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a cut stream that its caller takes for a whole one.
+
+        By HTTP/1.0, where the end of the connection ends the stream, only a reset tells.
+        """
+        entry = await start()
+        endpoint.pause = 0.3
+        endpoint.answers = [stream_response(*(b"id: %d\n\n" % n for n in range(90)))] * 2
+        callers = {}
+        for version in ("1.1", "1.0"):
+            callers[version] = await Caller.open(stack, entry)
+            callers[version].send("/stream/x", f"stream-{version}", version=version)
+        await wait_until(lambda: len(endpoint.received) == 2)
+        entry.process.send_signal(signal.SIGTERM)
+        chunked, unframed = await asyncio.gather(
+            *(each.read_rest() for each in callers.values()), return_exceptions=True
+        )
+        assert isinstance(chunked, bytes)
+        assert b"id: 2\n\n" in chunked
+        assert not chunked.endswith(b"0\r\n\r\n")
+        assert isinstance(unframed, ConnectionResetError)
+        reasons = list_incomplete(await stop(entry))
+        assert reasons == {"stream-1.1": "stopped", "stream-1.0": "stopped"}
+
 
 class TestWaitingRequests:
     """Tests of requests that were read while others of the same connection are in progress."""
@@ -250,3 +282,49 @@
         await asyncio.sleep(3.5)  # longer than the node accepts requests
         assert len(await caller.read_rest()) > len(body)
         assert list_incomplete(await stop(entry)) == {}
+
+
+class FailingForwarder:
+    """A forwarder with an internal error.
+
+    :param begin: whether it comes inside a streamed answer.
+    """
+
+    table = None
+
+    def __init__(self, error: Exception, *, begin: bool) -> None:
+        self._error = error
+        self._begin = begin
+
+    async def forward(self, request: CallerRequest, sink: FrontSink) -> None:
+        """Raise the error."""
+        if self._begin:
+            await sink.begin(200, ())
+            await sink.write(b"id: 0\n\n")
+        raise self._error
+
+
+@pytest.mark.parametrize("error", [KeyError("x"), TimeoutError("x"), ConnectionResetError("x")])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("begin", [False, True])
+async def test_internal_error_gives_a_final_answer_or_aborts_a_begun_one(
+    stack: AsyncExitStack, error: Exception, version: str, begin: bool
+) -> None:
+    """Guards against an error that looks like a complete answer, or like a caller that left."""
+    forwarder = FailingForwarder(error, begin=begin)
+    front = FrontHandler(cast(Forwarder, forwarder), lambda: False)
+    listener = await start_listener(stack, front.handle, f"{LOOPBACK}:0", caller_facing=True)
+    reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+    stack.callback(writer.close)
+    counter = INCOMPLETE_ANSWERS.labels(IncompleteReason.ERROR.value)
+    before = counter._value.get()
+    caller = Caller(reader, writer)
+    caller.send("/x", "r0", version=version)
+    if not begin:
+        assert list_statuses(await caller.read_rest()) == [500]
+    elif version == "1.0":
+        with pytest.raises(ConnectionResetError):
+            await caller.read_rest()
+    else:
+        assert not (await caller.read_rest()).endswith(b"0\r\n\r\n")
+    assert counter._value.get() - before == begin
