Record callers that leave or are cut off, each once

A caller that left, one that was cut off for taking nothing of its answer, and a connection that the stop closed had the same log line and no counter.

Measured: a caller that closes or half-closes its connection in a stream is recorded as "caller left" once, a stalled one as "caller stalled" once (test_stopping, test_slow_callers); before, neither was.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_caller_buffers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_caller_buffers.py
@@ -10,7 +10,7 @@
 
 from prometheus_client import Counter, Gauge
 
-from wrenloft_core import read_clock
+from wrenloft_core import RequestId, read_clock
 from wrenloft_policy import (
     READ_AHEAD_BYTES,
     READ_AHEAD_RESUME_BYTES,
@@ -18,6 +18,7 @@
     UNCOUNTED_BYTES,
     is_caller_stalled,
 )
+from wrenloft_routing._incomplete_answers import IncompleteReason, record_incomplete
 from wrenloft_routing._memory_budget import MemoryBudget
 
 SLOW_CALLERS = Gauge("wrenloft_slow_callers", "Connections with bytes that wait for their callers")
@@ -50,6 +51,7 @@
         self._transport = transport
         self._held = budget.open()
         self._writer: AnswerWriter | None = None
+        self._request_id = RequestId("")
         self._written_before = 0
         self._taken = 0
         self._taken_at = read_clock()
@@ -58,11 +60,12 @@
         self.cut_off = False
         _restore_limits(transport)
 
-    def begin(self, writer: AnswerWriter) -> None:
+    def begin(self, writer: AnswerWriter, request_id: RequestId) -> None:
         """Begin the next answer on the connection."""
         if self._writer is not None:
             self._written_before += self._writer.output_size
         self._writer = writer
+        self._request_id = request_id
 
     def needs_room(self) -> bool:
         """Count the waiting bytes if there are many; return whether there is no memory for them."""
@@ -97,6 +100,9 @@
         elif is_caller_stalled(now - self._taken_at, blocking=self.blocking):
             self.cut_off = True
             CUT_OFF.inc()
+            record_incomplete(
+                self._request_id, IncompleteReason.CALLER_STALLED, f"{waiting} bytes not taken"
+            )
             self._transport.abort()
             self.close()
             return False
@@ -124,7 +130,7 @@
 
     @contextmanager
     def watch(
-        self, transport: WriteTransport | None, writer: AnswerWriter
+        self, transport: WriteTransport | None, writer: AnswerWriter, request_id: RequestId
     ) -> Iterator[CallerBuffer | None]:
         """Watch a connection while it gets an answer, and until the caller has taken it.
 
@@ -136,7 +142,7 @@
         buffer = self._buffers.get(transport)
         if buffer is None:
             buffer = self._buffers[transport] = CallerBuffer(transport, self._budget)
-        buffer.begin(writer)
+        buffer.begin(writer, request_id)
         self._answering.add(transport)
         try:
             yield buffer
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -10,8 +10,9 @@
 
 from wrenloft_platform._front import FrontSink
 from wrenloft_policy import READ_AHEAD_BYTES, MemoryLimits
-from wrenloft_routing import CallerRequest, Forwarder, RuleKind
+from wrenloft_routing import CallerRequest, Forwarder, IncompleteReason, RuleKind
 from wrenloft_routing import _caller_buffers as buffers
+from wrenloft_routing._incomplete_answers import INCOMPLETE_ANSWERS
 
 from .bounded_node import (
     BoundedNode,
@@ -30,6 +31,7 @@
 
 Play = Callable[[AsyncExitStack], Awaitable[None]]
 Runner = Callable[[Play], None]
+Count = Callable[[], dict[str, int]]
 
 
 @pytest.fixture(params=[asyncio.run, uvloop.run])
@@ -83,8 +85,22 @@
     monkeypatch.setattr(buffers, "is_caller_stalled", is_stalled)
 
 
+@pytest.fixture
+def count_incomplete() -> Count:
+    """Count the connections that end without a complete answer during a test, by reason."""
+
+    def read() -> dict[str, int]:
+        counters = {each.value: INCOMPLETE_ANSWERS.labels(each.value) for each in IncompleteReason}
+        return {reason: int(each._value.get()) for reason, each in counters.items()}
+
+    before = read()
+    return lambda: {
+        reason: count - before[reason] for reason, count in read().items() if count > before[reason]
+    }
+
+
 def test_caller_that_blocks_its_endpoint_is_cut_off_before_the_endpoint_gives_up(
-    run: Runner, short_stall: None
+    run: Runner, short_stall: None, count_incomplete: Count
 ) -> None:
     """Guards against a stream that the endpoint ends, which is then run again elsewhere."""
 
@@ -98,6 +114,7 @@
         await wait_until(node.is_released)
         answer = await caller.read_all(100_000, 0.0)
         assert not answer.endswith(b"0\r\n\r\n")
+        assert count_incomplete() == {"caller stalled": 1}
         reviewing.cancel()
 
     run(play)
@@ -162,7 +179,7 @@
 
 
 def test_whole_answer_that_is_not_taken_frees_its_endpoint_and_then_its_memory(
-    run: Runner, short_stall: None
+    run: Runner, short_stall: None, count_incomplete: Count
 ) -> None:
     """Guards against answers that stay in memory for as long as a caller likes."""
 
@@ -179,6 +196,7 @@
         assert node.budget.held >= len(body)
         await wait_until(node.is_released)
         assert len(await caller.read_all(100_000, 0.0)) < len(body)
+        assert count_incomplete() == {"caller stalled": 1}
 
     run(play)
 
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -283,6 +283,30 @@
         assert len(await caller.read_rest()) > len(body)
         assert list_incomplete(await stop(entry)) == {}
 
+    @pytest.mark.parametrize("half", [False, True])
+    async def test_caller_that_leaves_is_recorded_and_ends_the_work(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint, half: bool
+    ) -> None:
+        """Guards against work that goes on for a caller that left, and against its silent end.
+
+        The end of what a caller sends is taken for that of the connection: a close looks the same.
+        """
+        entry = await start()
+        endpoint.pause = 0.1
+        endpoint.answers = [stream_response(*(b"id: %d\n\n" % n for n in range(200)))]
+        caller = await Caller.open(stack, entry)
+        caller.send("/stream/x", "left")
+        await caller.reader.readuntil(b"id: 0")
+        if half:
+            caller.writer.write_eof()
+        else:
+            caller.writer.close()
+        async with asyncio.timeout(0.5 + PATIENCE_SECONDS / 10):
+            while not endpoint.disconnects:
+                await asyncio.sleep(0.02)
+        entry.process.send_signal(signal.SIGTERM)
+        assert list_incomplete(await stop(entry)) == {"left": "caller left"}
+
 
 class FailingForwarder:
     """A forwarder with an internal error.
