--- a/packages/wrenloft-core/src/wrenloft_core/_settings.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_settings.py
@@ -34,8 +34,8 @@
     :raises SettingsError: if it can't be read, isn't valid TOML, or has an invalid value.
     """
     try:
-        fields = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        fields = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(str(error), step="read-settings", peer=str(path)) from error
     return structure_settings(fields, kind, source=str(path))
 
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -13,9 +13,11 @@
 import pytest
 from aiohttp import ClientSession
 
+from wrenloft_core import SettingsError, read_settings
+from wrenloft_platform import _serve
 from wrenloft_platform._front import FrontHandler, FrontSink
-from wrenloft_platform._serve import start_listener
-from wrenloft_routing import CallerRequest, Forwarder, IncompleteReason
+from wrenloft_platform._serve import WatchedFile, start_listener
+from wrenloft_routing import CallerRequest, EntrySettings, Forwarder, IncompleteReason
 from wrenloft_routing._incomplete_answers import INCOMPLETE_ANSWERS
 
 from .conftest import (
@@ -352,3 +354,110 @@
     else:
         assert not (await caller.read_rest()).endswith(b"0\r\n\r\n")
     assert counter._value.get() - before == begin
+
+
+INVALID_SETTINGS = {
+    "half written": b'name = "entry-1"\nip = "127.0',
+    "not UTF-8": b'name = "\xff\xfe"\n',
+    "wrong type": b'internal_port = "x"\n',
+    "nested too deeply": b"name = " + b"[" * 20_000,
+    "number too long": b"internal_port = " + b"1" * 5000,
+    "empty": b"",
+    "missing": None,
+}
+
+
+class TestReload:
+    """Tests of changes of the settings file beside requests in progress."""
+
+    async def test_invalid_settings_are_rejected_beside_requests_in_progress(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint, tmp_path: Path
+    ) -> None:
+        """Guards against a reload that ends the process, its requests or its watch of the file."""
+        entry = await start()
+        endpoint.pause = 0.2
+        endpoint.answers = [stream_response(*(b"id: %d\n\n" % n for n in range(20)))]
+        caller = await Caller.open(stack, entry)
+        caller.send("/stream/x", "r0")
+        await wait_until(lambda: endpoint.received)
+        path = tmp_path / "settings.toml"
+        valid = path.read_bytes()
+        for content in INVALID_SETTINGS.values():
+            if content is None:
+                path.unlink()
+            else:
+                path.write_bytes(content)
+            entry.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+        path.write_bytes(valid.replace(b"grace = 4.0", b"grace = 4.5"))
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while b"id: 19" not in (answer := await caller.reader.readuntil(b"\n\n")):
+                pass
+        assert answer.endswith(b"id: 19\n\n")
+        await asyncio.sleep(1.5)  # longer than the interval of checks
+        entry.process.send_signal(signal.SIGTERM)
+        log = await stop(entry)
+        message = "settings rejected; keeping the previous ones"
+        rejected = [each for each in log if each["message"] == message]
+        assert {each["level"] for each in rejected} == {"WARNING"}
+        assert len(rejected) >= len(INVALID_SETTINGS)
+        assert "settings reloaded" in {each["message"] for each in log}
+        assert not [each for each in log if "exception" in each]
+
+    @pytest.mark.parametrize("content", INVALID_SETTINGS.values(), ids=INVALID_SETTINGS)
+    def test_invalid_settings_raise_one_kind_of_error(
+        self, tmp_path: Path, content: bytes | None
+    ) -> None:
+        """Guards against errors of the parser that nobody handles."""
+        path = tmp_path / "settings.toml"
+        if content is not None:
+            path.write_bytes(content)
+        with pytest.raises(SettingsError):
+            read_settings(path, EntrySettings)
+
+    async def test_file_is_watched_although_it_is_missing_at_first(
+        self, stack: AsyncExitStack, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against settings that are never read again."""
+        calls: list[bytes] = []
+        path = tmp_path / "settings.toml"
+        file = self._watch(stack, path, lambda: calls.append(path.read_bytes()), monkeypatch)
+        await asyncio.sleep(0.05)
+        path.write_bytes(b"1")
+        await wait_until(lambda: calls)
+        path.write_bytes(b"2")
+        file.reread()
+        await asyncio.sleep(0.1)
+        assert calls == [b"1", b"2"]
+
+    async def test_file_is_watched_after_an_error_of_its_reader(
+        self, stack: AsyncExitStack, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against one invalid change that hides all later ones."""
+        calls: list[bytes] = []
+        path = tmp_path / "settings.toml"
+        path.write_bytes(b"0")
+
+        def apply() -> None:
+            calls.append(path.read_bytes())
+            raise KeyError("x")
+
+        self._watch(stack, path, apply, monkeypatch)
+        for number in (b"1", b"2"):
+            path.write_bytes(number)
+            await wait_until(lambda number=number: number in calls)
+        await asyncio.sleep(0.1)
+        assert calls == [b"1", b"2"]
+
+    @staticmethod
+    def _watch(
+        stack: AsyncExitStack,
+        path: Path,
+        on_change: Callable[[], None],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> WatchedFile:
+        monkeypatch.setattr(_serve, "_FILE_POLL_SECONDS", 0.01)
+        file = WatchedFile(path, on_change)
+        watching = asyncio.create_task(file.watch())
+        stack.callback(watching.cancel)
+        return file
