--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -310,6 +310,56 @@
         assert list_incomplete(await stop(entry)) == {"left": "caller left"}
 
 
+class TestExtraResponses:
+    """Tests of responses to earlier requests on kept connections to endpoints."""
+
+    @pytest.mark.parametrize("parts", [1, 2])
+    @pytest.mark.parametrize("count", [1, 2])
+    async def test_true_response_behind_extra_ones_is_passed_on(
+        self,
+        stack: AsyncExitStack,
+        start: Start,
+        endpoint: StandinEndpoint,
+        parts: int,
+        count: int,
+    ) -> None:
+        """Guards against closing the connection on which the answer of a request follows.
+
+        The request may not be repeated, so that its caller would get none.
+        """
+        entry = await start()
+        extra = full_response(b"late").replace(b"{id}", b"r0")
+        between = b"|PAUSE|" if parts == 2 else b""
+        endpoint.pause = 0.1
+        endpoint.answers = [
+            full_response(b"first"),
+            extra * count + between + full_response(b"own"),
+        ]
+        caller = await Caller.open(stack, entry)
+        for request_id, body in (("r0", b"first"), ("r1", b"own")):
+            caller.send("/once/x", request_id)
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            assert list_statuses(head) == [200]
+            assert f"x-attempt-id: {request_id}\r\n".encode() in head.lower()
+            assert await caller.reader.readexactly(len(body)) == body
+        assert [each.headers["x-attempt-id"] for each in endpoint.received] == ["r0", "r1"]
+
+    async def test_extra_response_without_a_true_one_is_not_passed_on(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against an answer to another request where the connection ends behind it."""
+        entry = await start()
+        extra = full_response(b"late").replace(b"{id}", b"r0")
+        endpoint.answers = [full_response(b"first"), extra + b"RESET"]
+        caller = await Caller.open(stack, entry)
+        for request_id in ("r0", "r1"):
+            caller.send("/once/x", request_id)
+        await wait_until(lambda: len(endpoint.received) == 2)
+        head = await caller.reader.readuntil(b"first")
+        assert list_statuses(head) == [200]
+        assert list_statuses(await caller.reader.readuntil(b"\r\n\r\n")) == [502]
+
+
 class FailingForwarder:
     """A forwarder with an internal error.
 
