Test that a failed background task lets requests in progress end

A task that fails stops the node, which then has to drain as by SIGTERM, also where removing its entry from the store raises.

--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -15,6 +15,8 @@
 
 from wrenloft_core import SettingsError, read_settings
 from wrenloft_platform import _serve
+from wrenloft_platform._entry import EntryNode, run_entry
+from wrenloft_platform._follow import MemberRegistration
 from wrenloft_platform._front import FrontHandler, FrontSink
 from wrenloft_platform._serve import WatchedFile, start_listener
 from wrenloft_routing import CallerRequest, EntrySettings, Forwarder, IncompleteReason
@@ -51,9 +53,7 @@
     """Start an entry node with one endpoint and long timeouts."""
 
     async def start_entry(**settings: Any) -> Entry:
-        store.put("op/config", {**CONFIGURATION, "routes": ROUTES})
-        fields = {"service": "plain", "address": endpoint.address, "zone": "z1", "slots": 8}
-        store.put("servers/i-1", {**fields, "state": "ready", "sequence": 1})
+        put_configuration(store, endpoint)
         path = tmp_path / "settings.toml"
         bounds = {"bounds": {"grace": GRACE_SECONDS, "revoke": 5.0}}
         written = write_settings(path, store.address, **{**bounds, **settings})
@@ -71,6 +71,13 @@
     return start_entry
 
 
+def put_configuration(store: StandinStore, endpoint: StandinEndpoint) -> None:
+    """Configure one endpoint and routes with long timeouts."""
+    store.put("op/config", {**CONFIGURATION, "routes": ROUTES})
+    fields = {"service": "plain", "address": endpoint.address, "zone": "z1", "slots": 8}
+    store.put("servers/i-1", {**fields, "state": "ready", "sequence": 1})
+
+
 async def _kill(process: asyncio.subprocess.Process) -> None:
     if process.returncode is None:
         process.kill()
@@ -202,6 +209,44 @@
         assert reasons == {"stream-1.1": "stopped", "stream-1.0": "stopped"}
 
 
+@pytest.mark.parametrize("unregister_fails", [False, True])
+async def test_failed_background_task_ends_the_node_behind_its_requests(
+    stack: AsyncExitStack,
+    store: StandinStore,
+    endpoint: StandinEndpoint,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    unregister_fails: bool,
+) -> None:
+    """Guards against an internal error that cuts requests which the node could still serve."""
+    failing = asyncio.Event()
+
+    async def fail(_: object) -> None:
+        await failing.wait()
+        raise KeyError("x")
+
+    monkeypatch.setattr(EntryNode, "_end_rests", fail)
+    if unregister_fails:
+        monkeypatch.setattr(MemberRegistration, "unregister", fail)
+    put_configuration(store, endpoint)
+    path = tmp_path / "settings.toml"
+    written = write_settings(path, store.address)
+    running = asyncio.create_task(run_entry(read_settings(path, EntrySettings), path))
+    stack.callback(running.cancel)
+    client = await stack.enter_async_context(ClientSession())
+    entry = Entry(cast(Any, None), written, client)
+    await entry.wait_ready()
+    endpoint.pause = 0.2
+    endpoint.answers = [stream_response(*(b"id: %d\n\n" % n for n in range(15)))]
+    caller = await Caller.open(stack, entry)
+    caller.send("/stream/x", "r0")
+    await caller.reader.readuntil(b"id: 0")
+    failing.set()
+    assert (await caller.read_rest()).endswith(b"id: 14\n\n\r\n0\r\n\r\n")
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        await running
+
+
 class TestWaitingRequests:
     """Tests of requests that were read while others of the same connection are in progress."""
 
