--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -405,6 +405,38 @@
         assert list_statuses(await caller.reader.readuntil(b"\r\n\r\n")) == [502]
 
 
+async def test_requests_of_a_caller_that_left_are_not_waited_for(stack: AsyncExitStack) -> None:
+    """Guards against a stop that takes all of its time for requests that nobody waits for."""
+    forwarder = SilentForwarder()
+    front = FrontHandler(cast(Forwarder, forwarder), lambda: False)
+    listener = await start_listener(stack, front.handle, f"{LOOPBACK}:0", caller_facing=True)
+    reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+    caller = Caller(reader, writer)
+    for number in range(3):
+        caller.send("/x", f"r{number}")
+    await wait_until(lambda: forwarder.received)
+    connections = list(front._connections)
+    await wait_until(lambda: connections[0].has_waiting_request)
+    assert front.owes_answers()
+    writer.close()
+    await wait_until(lambda: not front.owes_answers())
+    assert len(forwarder.received) == 1
+
+
+class SilentForwarder:
+    """A forwarder that gives no answer."""
+
+    table = None
+
+    def __init__(self) -> None:
+        self.received: list[CallerRequest] = []
+
+    async def forward(self, request: CallerRequest, sink: FrontSink) -> None:
+        """Wait until cancelled."""
+        self.received.append(request)
+        await asyncio.Event().wait()
+
+
 class FailingForwarder:
     """A forwarder with an internal error.
 
