Watch an endpoint until a probe begins after the longest silence of a sound one

The watch ended at a fixed time, so that the last probe could begin while a host was still silent for up to 2.9 s; the endpoint then stayed excluded for 6 s. The last probe now begins after that time. Found by the test that waits until an endpoint is used again, which failed for 2.9 s and passes.

Tests of the detector: silences of 0.3, 1.0 and 2.9 s count nothing, whether the answers go on or not; what stays unreachable, is refused or breaks off after a silence is counted; a delay of this process isn't a silence of the endpoint.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -139,15 +139,17 @@
     """Probes of an endpoint until one of them is answered.
 
     :param first_probe: done after the first probe.
+    :param started_at: start of the latest probe.
     :param unreachable_since: start of the first probe that nothing answered, of those since this
         node last heard of the endpoint.
     :param unanswered_at: end of the latest probe that nothing answered.
     :param heard_at: when it sent data during the check.
-    :param watched_until: until when it is probed even if no answer is lost, because it accepted no
-        connection.
+    :param watched_until: until when probes are started even if no answer is lost, because it
+        accepted no connection; the last one is started after that.
     """
 
     first_probe: asyncio.Future[None]
+    started_at: float = float("-inf")
     unreachable_since: float | None = None
     unanswered_at: float = float("-inf")
     heard_at: float = float("-inf")
@@ -158,14 +160,17 @@
         if not self.first_probe.done():
             self.first_probe.set_result(None)
 
-    def record_unanswered(self, started: float, now: float) -> float:
-        """Record a probe that nothing answered; return since when the endpoint is unreachable."""
+    def record_unanswered(self, now: float) -> float:
+        """Record that nothing answered the latest probe.
+
+        :returns: since when the endpoint has been unreachable.
+        """
         known = self.unreachable_since is not None
-        if now - (self.unanswered_at if known else started) > MAX_PROBE_PERIOD_SECONDS:
+        if now - (self.unanswered_at if known else self.started_at) > MAX_PROBE_PERIOD_SECONDS:
             # This process was stopped or busy, and may have missed an answer.
             self.unreachable_since = now
         elif self.unreachable_since is None:
-            self.unreachable_since = max(started, self.heard_at)
+            self.unreachable_since = max(self.started_at, self.heard_at)
         self.unanswered_at = now
         return self.unreachable_since
 
@@ -340,13 +345,13 @@
         One that nothing answers has failed if it was unreachable for longer than a sound endpoint
         may be silent when the probe began.
         """
-        started = read_clock()
+        check.started_at = read_clock()
         liveness = await self._probe(state.endpoint.address)
         check.end_first_probe()
         losses = self._find_unresolved(incarnation)
         if liveness is Liveness.UNREACHABLE:
-            since = check.record_unanswered(started, read_clock())
-            if started - since <= MAX_SOUND_SILENCE_SECONDS:
+            since = check.record_unanswered(read_clock())
+            if check.started_at - since <= MAX_SOUND_SILENCE_SECONDS:
                 return False
             if losses is not None:
                 self._confirm_silent(losses, since)
@@ -366,7 +371,7 @@
     def _is_due(self, incarnation: IncarnationId, check: _Check) -> bool:
         """Return whether an endpoint that nothing answers is probed again."""
         unresolved = self._find_unresolved(incarnation) is not None
-        return unresolved or read_clock() < check.watched_until
+        return unresolved or check.started_at <= check.watched_until
 
     def _confirm_silent(self, losses: _EndpointLosses, since: float) -> None:
         """Record that an endpoint failed that has been unreachable since some time.
--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -24,7 +24,7 @@
 )
 from wrenloft_routing._liveness import PROBE_TIMEOUT_SECONDS
 
-from .virtual_time import read_loop_time, run_virtually
+from .virtual_time import VirtualLoop, read_loop_time, run_virtually
 
 ENDPOINT = Endpoint(
     AgentId("e"), ServiceName("s"), "127.0.0.1:1", PlaceName("p"), RegionName("r"), 4, born=5
@@ -216,3 +216,239 @@
     harness.liveness = Liveness.REFUSED
     await harness.lose_answers("b")
     assert [each.contents for each in harness.failures] == [{"b"}]
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 2.9])
+@pytest.mark.parametrize("heard", [False, True])
+def test_silence_of_a_sound_endpoint_is_no_failure(
+    monkeypatch: pytest.MonkeyPatch, seconds: float, heard: bool
+) -> None:
+    """Guards against counting an endpoint as crashed whose host is silent and goes on.
+
+    The answers continue, or their attempts have been ended meanwhile.
+    """
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a", silent=True)
+        await harness.lose_answers("b", silent=False)
+        await asyncio.sleep(seconds)
+        harness.liveness = Liveness.REACHABLE
+        if heard:
+            harness.detector.record_heard(harness.state)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        harness.detector.review()
+        assert not harness.failures
+
+    run_virtually(monkeypatch, act)
+
+
+def test_crash_behind_a_silence_is_confirmed_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The host is silent for a second, and comes back without the process."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a", silent=True)
+        await asyncio.sleep(1.0)
+        harness.liveness = Liveness.REFUSED
+        await asyncio.sleep(PROBE_TIMEOUT_SECONDS + 2 * PROBE_INTERVAL_SECONDS)
+        assert [each.sign for each in harness.failures] == [FailureSign.REFUSED]
+
+    run_virtually(monkeypatch, act)
+
+
+def test_heard_endpoint_is_silent_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against adding up two silences, and against missing that the second one lasts."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a", silent=True)
+        await asyncio.sleep(2.0)
+        harness.detector.record_heard(harness.state)
+        await harness.lose_answers("b", silent=True)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS)
+        assert not harness.failures
+        await asyncio.sleep(LATEST_PROBE_SECONDS)
+        assert [each.contents for each in harness.failures] == [{"b"}]
+
+    run_virtually(monkeypatch, act)
+
+
+async def test_silent_answer_that_continues_is_not_lost_with_a_restart() -> None:
+    """Guards against counting an answer that continued when its endpoint is replaced."""
+    harness = DetectorHarness(Liveness.REACHABLE)
+    await harness.lose_answers("a", silent=True)
+    harness.detector.record_heard(harness.state)
+    harness.endpoints.update([replace(ENDPOINT, born=9)], trusted=True)
+    harness.detector.review()
+    assert not harness.failures
+
+
+async def test_answer_that_breaks_off_after_a_silence_is_lost() -> None:
+    """An endpoint that has been silent for long crashes; the silence alone was no failure."""
+    harness = DetectorHarness(Liveness.REACHABLE)
+    await harness.lose_answers("a", silent=True)
+    await asyncio.sleep(0.01)
+    harness.liveness = Liveness.REFUSED
+    broken_at = read_loop_time()
+    await harness.lose_answers("a")
+    (failure,) = harness.failures
+    assert (failure.contents, failure.sign) == ({"a"}, FailureSign.REFUSED)
+    assert failure.at >= broken_at
+
+
+async def test_data_that_was_under_way_hides_no_crash() -> None:
+    """A connection breaks with a crash; what was sent on another one before is read after it."""
+    harness = DetectorHarness(Liveness.REFUSED)
+    harness.detector.record_loss(harness.state, _make_request("a", 0.0), silent=False)
+    harness.detector.record_heard(harness.state)
+    await asyncio.sleep(0.01)
+    assert [each.contents for each in harness.failures] == [{"a"}]
+
+
+def test_ended_attempts_count_once_their_endpoint_has_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against forgetting a request that was answered elsewhere after a silence."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        with harness.detector.track_request(
+            [harness.state], Workload(CONTENT, frozenset())
+        ) as request:
+            harness.detector.record_silence(harness.state, request)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        assert [each.contents for each in harness.failures] == [{CONTENT}]
+
+    run_virtually(monkeypatch, act)
+
+
+def test_request_sent_to_an_unreachable_endpoint_is_not_involved(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It is sent on a connection that was open when the endpoint failed."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a", silent=True)
+        await asyncio.sleep(1.0)
+        await harness.lose_answers("b", sent_at=read_loop_time(), silent=True)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        assert [each.contents for each in harness.failures] == [{"a"}]
+
+    run_virtually(monkeypatch, act)
+
+
+def test_delay_of_this_process_is_no_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against adding the time for which this process was stopped to a silence.
+
+    The endpoint is silent for a moment before this process is stopped and for another one after.
+    """
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a", silent=True)
+        await asyncio.sleep(0.3)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        loop.selector.now += 2 * MAX_SOUND_SILENCE_SECONDS
+        await asyncio.sleep(1.0)
+        harness.liveness = Liveness.REACHABLE
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS)
+        assert not harness.failures
+
+    run_virtually(monkeypatch, act)
+
+
+def test_failure_that_is_heard_again_involves_no_more_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The endpoint was silent for longer than expected and goes on; other answers continue."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        sent_at = read_loop_time()
+        await harness.lose_answers("a", sent_at=sent_at, silent=True)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        assert len(harness.failures) == 1
+        harness.liveness = Liveness.REACHABLE
+        harness.detector.record_heard(harness.state)
+        await harness.lose_answers("b", sent_at=sent_at, silent=True)
+        await asyncio.sleep(1.0)
+        assert len(harness.failures) == 1
+
+    run_virtually(monkeypatch, act)
+
+
+def test_requests_wait_for_the_first_probe_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against second attempts that wait until a silence is known to be a failure."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a")
+        begun = read_loop_time()
+        await harness.detector.wait_for_checks([harness.state])
+        assert harness.probed == 1
+        assert read_loop_time() - begun <= PROBE_TIMEOUT_SECONDS + 0.001
+        await harness.detector.wait_for_checks([harness.state])
+        assert read_loop_time() - begun <= PROBE_TIMEOUT_SECONDS + 0.001
+        await harness.detector.close()
+
+    run_virtually(monkeypatch, act)
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 2.9])
+def test_unreachable_endpoint_is_used_once_it_accepts_a_connection(
+    monkeypatch: pytest.MonkeyPatch, seconds: float
+) -> None:
+    """Guards against excluding an endpoint for longer than its host was silent."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        state = harness.state
+        for _ in range(5):
+            harness.endpoints.record_failure(state, read_loop_time())
+            harness.detector.record_unreachable(state)
+        await asyncio.sleep(seconds)
+        assert state.suspect_until > read_loop_time()
+        harness.liveness = Liveness.REACHABLE
+        await asyncio.sleep(PROBE_TIMEOUT_SECONDS + 2 * PROBE_INTERVAL_SECONDS)
+        assert state.suspect_until <= read_loop_time()
+        assert not harness.failures
+
+    run_virtually(monkeypatch, act)
+
+
+def test_endpoint_that_stays_unreachable_is_watched_for_a_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It stays excluded, and is not probed until the next connection to it fails."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        state = harness.state
+        for _ in range(3):
+            harness.endpoints.record_failure(state, read_loop_time())
+            harness.detector.record_unreachable(state)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        probed = harness.probed
+        await asyncio.sleep(2.0)
+        assert harness.probed == probed
+        assert state.suspect_until > read_loop_time()
+        harness.detector.record_unreachable(state)
+        await asyncio.sleep(1.0)
+        assert harness.probed > probed
+        await harness.detector.close()
+
+    run_virtually(monkeypatch, act)
+
+
+async def test_refused_connections_keep_an_endpoint_excluded() -> None:
+    """A process that has ended is not expected back within a moment."""
+    harness = DetectorHarness(Liveness.REFUSED)
+    state = harness.state
+    harness.endpoints.record_failure(state, read_loop_time())
+    harness.detector.record_unreachable(state)
+    await asyncio.sleep(0.01)
+    assert state.suspect_until > read_loop_time()
+    assert harness.probed == 1
