Tell failures to connect from others in either order of recording

Recorded before its failure, a failure to connect cancelled an earlier failure of another kind whose exclusion was over, and the exclusion then outlived the host's silence. Both ways now begin a new exclusion in the same manner.

Tests of exclusions: never longer than the silence however many requests notice it, ended by the first data or accepted connection where these are the cause, and as long as the silence so far where an endpoint is silent for good.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_endpoints.py
@@ -702,15 +702,18 @@
         """Exclude an endpoint for a time that doubles with each failure in a row."""
         pause = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2**state.failures)
         state.failures += 1
-        if state.failed_until <= now:
-            state.other_failures = min(0, state.other_failures)
-        state.other_failures += 1
+        self._add_other_failures(state, 1, now)
         state.failed_until = now + pause
         self.mark_changed()
 
-    def record_failed_connect(self, state: EndpointState) -> None:
-        """Record that the failure that is recorded beside this one was a failure to connect."""
-        state.other_failures -= 1
+    def record_failed_connect(self, state: EndpointState, now: float) -> None:
+        """Record that a failure that is recorded just before or after is a failure to connect."""
+        self._add_other_failures(state, -1, now)
+
+    def _add_other_failures(self, state: EndpointState, number: int, now: float) -> None:
+        if state.failed_until <= now:
+            state.other_failures = min(0, state.other_failures)
+        state.other_failures += number
 
     def record_reachable(self, state: EndpointState, now: float) -> None:
         """Record that an endpoint accepts connections again.
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -231,7 +231,7 @@
         Requests in progress there may wait until their deadlines, seconds after the failure. The
         next connection to the endpoint detects it sooner, and repeats are quarantined sooner.
         """
-        self._endpoints.record_failed_connect(state)
+        self._endpoints.record_failed_connect(state, read_clock())
         for request in list(self._running.get(state.endpoint.incarnation, ())):
             self.record_loss(state, request, silent=True)
         if not state.leaving and self._is_listed(state):
