--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -957,6 +957,105 @@
         f"{ROUTING_TESTS}/test_forward.py::TestQuarantinedContent"
         "::test_crash_update_stops_a_waiting_repeat",
     ),
+    Safeguard(
+        "a silent endpoint is excluded for as long as it was silent",
+        f"{ROUTING}/_endpoints.py",
+        "silence = min(MAX_SUSPECT_SECONDS, now - state.silent_since)",
+        "silence = MAX_SUSPECT_SECONDS",
+        f"{ROUTING_TESTS}/test_exclusion.py" "::test_exclusion_is_no_longer_than_the_silence",
+    ),
+    Safeguard(
+        "requests that notice one silence exclude an endpoint once",
+        f"{ROUTING}/_endpoints.py",
+        "if state.silent_until <= now:",
+        "if True:",
+        f"{ROUTING_TESTS}/test_exclusion.py" "::test_exclusion_is_no_longer_than_the_silence",
+    ),
+    Safeguard(
+        "data ends the exclusion of a silence",
+        f"{ROUTING}/_endpoints.py",
+        "if state.silent_until > now:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_exclusion.py"
+        "::test_exclusion_of_a_silence_ends_with_the_first_data",
+    ),
+    Safeguard(
+        "an accepted connection ends no exclusion of another failure",
+        f"{ROUTING}/_endpoints.py",
+        "if state.failed_until > now and state.other_failures <= 0:",
+        "if state.failed_until > now:",
+        f"{ROUTING_TESTS}/test_exclusion.py"
+        "::test_accepted_connection_ends_no_exclusion_of_another_failure",
+    ),
+    Safeguard(
+        "a silence of all endpoints quarantines nothing",
+        f"{ROUTING}/_failure_detector.py",
+        "MAX_SOUND_SILENCE_SECONDS = 3.0",
+        "MAX_SOUND_SILENCE_SECONDS = 0.0",
+        f"{ROUTING_TESTS}/test_silent_fleet.py"
+        "::test_silence_of_all_endpoints_quarantines_nothing",
+    ),
+    Safeguard(
+        "an answer that continues after a silence is not lost",
+        f"{ROUTING}/_failure_detector.py",
+        "losses.end_silence()",
+        "pass",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_silent_answer_that_continues_is_not_lost_with_a_restart",
+    ),
+    Safeguard(
+        "data between two silences ends the first",
+        f"{ROUTING}/_failure_detector.py",
+        "check.record_heard(read_clock())",
+        "pass",
+        f"{ROUTING_TESTS}/test_failure_detector.py" "::test_heard_endpoint_is_silent_anew",
+    ),
+    Safeguard(
+        "a delay of this process is no silence",
+        f"{ROUTING}/_failure_detector.py",
+        "if now - (self.unanswered_at if known else self.started_at) > MAX_PROBE_PERIOD_SECONDS:",
+        "if False:",
+        f"{ROUTING_TESTS}/test_failure_detector.py" "::test_delay_of_this_process_is_no_silence",
+    ),
+    Safeguard(
+        "an endpoint that accepts connections again is used",
+        f"{ROUTING}/_failure_detector.py",
+        "self._endpoints.record_reachable(state, read_clock())",
+        "pass",
+        f"{ROUTING_TESTS}/test_silent_fleet.py"
+        "::test_all_endpoints_are_used_again_after_their_silence",
+    ),
+    Safeguard(
+        "an endpoint that accepts no connection is watched",
+        f"{ROUTING}/_failure_detector.py",
+        "check.watched_until = read_clock() + MAX_SOUND_SILENCE_SECONDS",
+        "pass",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_unreachable_endpoint_is_used_once_it_accepts_a_connection",
+    ),
+    Safeguard(
+        "a request sent to an unreachable endpoint is not involved",
+        f"{ROUTING}/_failure_detector.py",
+        "if loss.heard_at <= since",
+        "if True",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_request_sent_to_an_unreachable_endpoint_is_not_involved",
+    ),
+    Safeguard(
+        "an answer that breaks off after a silence counts from then",
+        f"{ROUTING}/_failure_detector.py",
+        "elif loss.broken and not known.broken:",
+        "elif False:",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_answer_that_breaks_off_after_a_silence_is_lost",
+    ),
+    Safeguard(
+        "second attempts wait for one probe only",
+        f"{ROUTING}/_failure_detector.py",
+        "check.end_first_probe()\n        losses =",
+        "losses =",
+        f"{ROUTING_TESTS}/test_failure_detector.py" "::test_requests_wait_for_the_first_probe_only",
+    ),
     Safeguard(
         "an endpoint that answers has not failed",
         f"{ROUTING}/_failure_detector.py",
--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -243,6 +243,28 @@
     run_virtually(monkeypatch, act)
 
 
+def test_endpoint_that_computes_before_its_silence_is_sound(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against counting the time before an answer begins as a silence of the host."""
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.REACHABLE)
+        state = harness.state
+        with harness.detector.track_request([state], Workload(CONTENT, frozenset())) as request:
+            await asyncio.sleep(5.0)
+            harness.detector.record_silence(state, request)
+            await asyncio.sleep(1.0)
+            harness.liveness = Liveness.UNREACHABLE
+            harness.detector.record_unreachable(state)
+            await asyncio.sleep(2.9)
+            harness.liveness = Liveness.REACHABLE
+            await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+            assert not harness.failures
+
+    run_virtually(monkeypatch, act)
+
+
 def test_crash_behind_a_silence_is_confirmed_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """The host is silent for a second, and comes back without the process."""
 
