Count no failure of an endpoint that was found to be leaving after a silence

An endpoint that announced its end meanwhile, ended and started again was counted as crashed by it; now that all silent attempts are recorded, a rolling replacement would count many. A crashed endpoint announces nothing, and a refused connection confirms a failure as before.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -1056,6 +1056,14 @@
         "losses =",
         f"{ROUTING_TESTS}/test_failure_detector.py" "::test_requests_wait_for_the_first_probe_only",
     ),
+    Safeguard(
+        "a silence before a planned end is no failure",
+        f"{ROUTING}/_failure_detector.py",
+        "if sign is not FailureSign.REFUSED and self._has_departed(losses.endpoint):",
+        "if False:",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_silence_before_a_planned_end_is_no_failure",
+    ),
     Safeguard(
         "an endpoint that answers has not failed",
         f"{ROUTING}/_failure_detector.py",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -406,6 +406,13 @@
             elif losses.sign is None and self._has_restarted(losses.endpoint):
                 self._confirm(losses, FailureSign.RESTARTED)
 
+    def _has_departed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint has been found to be leaving since its answers were lost.
+
+        It may end at any time, so that nothing shows that it failed.
+        """
+        return self._endpoints.departures.find(endpoint.agent_id, endpoint.born) is not None
+
     def _has_restarted(self, endpoint: Endpoint) -> bool:
         listed = self._endpoints.find_by_address(endpoint.address)
         return any(each.endpoint.incarnation != endpoint.incarnation for each in listed)
@@ -413,6 +420,8 @@
     def _confirm(self, losses: _EndpointLosses, sign: FailureSign) -> None:
         if losses.sign is not None or not losses.workloads:
             return
+        if sign is not FailureSign.REFUSED and self._has_departed(losses.endpoint):
+            return
         losses.sign = sign
         times = [each.at for each in losses.workloads.values()]
         if sign is FailureSign.REFUSED:
--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -279,6 +279,28 @@
     run_virtually(monkeypatch, act)
 
 
+@pytest.mark.parametrize("liveness", [Liveness.REACHABLE, Liveness.UNREACHABLE])
+def test_silence_before_a_planned_end_is_no_failure(
+    monkeypatch: pytest.MonkeyPatch, liveness: Liveness
+) -> None:
+    """Guards against counting a rolling replacement as crashes of silent requests.
+
+    The attempt was ended while silent; the endpoint leaves, ends and starts again.
+    """
+
+    async def act() -> None:
+        harness = DetectorHarness(liveness)
+        await harness.lose_answers("a", silent=True)
+        await asyncio.sleep(1.0)
+        harness.endpoints.update([replace(ENDPOINT, leaving=True)], trusted=True)
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        harness.endpoints.update([replace(ENDPOINT, born=9)], trusted=True)
+        harness.detector.review()
+        assert not harness.failures
+
+    run_virtually(monkeypatch, act)
+
+
 def test_heard_endpoint_is_silent_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against adding up two silences, and against missing that the second one lasts."""
 
