Explain silences and incomplete answers of a request from logs

Cause: explain-request printed the lines of a request only. A stream that was cut while its endpoint was silent did not lead to the endpoint's other requests, to its failure, or to a change of the node at that time. Nothing counted incomplete answers over the logs of all nodes.

Change: explain-request goes on, for each silence and for an incomplete answer, with the silences of the same endpoint in other requests (a count and the first three), the failures of the endpoint, the number of silences at other endpoints of the same process, and changes of the same process, within 3 s. A process is told by its file and what a log collector writes before its events. `wrenloft incomplete` counts incomplete answers by reason and endpoint; `wrenloft report` ends with their sum.

The log lines in the tests are written by hand after the new fields; they are not lines of a run.

--- a/packages/wrenloft/src/wrenloft/_cli.py
+++ b/packages/wrenloft/src/wrenloft/_cli.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable, Coroutine
+from itertools import chain
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +18,15 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from wrenloft._explain import describe_event, find_crashes, find_request
+from wrenloft._explain import (
+    describe_event,
+    describe_surroundings,
+    find_crashes,
+    find_request,
+    find_surroundings,
+    read_events,
+)
+from wrenloft._incomplete_answers import count_incomplete, describe_incomplete, sum_reasons
 from wrenloft._node import run_node
 from wrenloft._seconds import count_seconds, describe_second
 from wrenloft._settings import NodeSettings
@@ -316,16 +325,16 @@
         return EXIT_OK
 
 
-def _read_logs(command: Command) -> list[str] | None:
-    """Return the lines of all log files; ``None`` with a word to the user if one can't be read."""
-    lines: list[str] = []
+def _read_logs(command: Command) -> dict[str, list[str]] | None:
+    """Return the lines of each log file; ``None`` with a word to the user if one can't be read."""
+    logs: dict[str, list[str]] = {}
     for name in command.argument("logs"):
         try:
-            lines += Path(name).read_text(errors="replace").splitlines()
+            logs[name] = Path(name).read_text(errors="replace").splitlines()
         except OSError as error:
             command.line_error(f"{name}: {error.strerror}")
             return None
-    return lines
+    return logs
 
 
 class _Report(Command):
@@ -342,17 +351,41 @@
         except ValueError:
             self.line_error(f"--aim {self.option('aim')}: not a number of milliseconds")
             return EXIT_WRONG_INPUT
-        lines = _read_logs(self)
-        if lines is None:
+        logs = _read_logs(self)
+        if logs is None:
             return EXIT_WRONG_INPUT
+        lines = list(chain.from_iterable(logs.values()))
         seconds = count_seconds(lines, aim_ms)
         for number, second in seconds.items():
             self.line(describe_second(number, second))
+        incomplete = count_incomplete(lines)
+        if incomplete:
+            self.line(sum_reasons(incomplete))
         if not seconds:
             self.line_error("no request ended in these logs")
         return EXIT_OK if seconds else EXIT_FAULT
 
 
+class _Incomplete(Command):
+    name = "incomplete"
+    description = "Counts from collected logs the incomplete answers, by reason and endpoint."
+    arguments = [argument("logs", "Log files of any number of processes.", multiple=True)]
+
+    def handle(self) -> int:
+        logs = _read_logs(self)
+        if logs is None:
+            return EXIT_WRONG_INPUT
+        lines = list(chain.from_iterable(logs.values()))
+        if next(read_events(lines), None) is None:
+            self.line_error(f"no log lines in JSON in {', '.join(logs)}")
+            return EXIT_WRONG_INPUT
+        incomplete = count_incomplete(lines)
+        for line in describe_incomplete(incomplete):
+            self.line(line)
+        self.line(sum_reasons(incomplete))
+        return EXIT_OK
+
+
 class _ExplainRequest(Command):
     name = "explain-request"
     description = "Tells from collected logs what became of a request, and why."
@@ -362,11 +395,15 @@
     ]
 
     def handle(self) -> int:
-        lines = _read_logs(self)
-        if lines is None:
+        logs = _read_logs(self)
+        if logs is None:
             return EXIT_WRONG_INPUT
-        lines = list(lines)
-        events = find_request(self.argument("id"), lines)
+        request_id = self.argument("id")
+        lines = list(chain.from_iterable(logs.values()))
+        events = find_request(request_id, lines)
+        if not events:
+            self.line_error(f"no line about request {request_id}")
+            return EXIT_FAULT
         for event in events:
             self.line(describe_event(event))
         crashes = find_crashes(events, lines)
@@ -374,9 +411,10 @@
             self.line("the crashes for which it was refused:")
         for event in crashes:
             self.line(describe_event(event))
-        if not events:
-            self.line_error(f"no line about request {self.argument('id')}")
-        return EXIT_OK if events else EXIT_FAULT
+        for surroundings in find_surroundings(request_id, logs):
+            for line in describe_surroundings(surroundings):
+                self.line(line)
+        return EXIT_OK
 
 
 class _Drain(_OperatorCommand):
@@ -691,6 +729,7 @@
         _Explain,
         _ExplainRequest,
         _Report,
+        _Incomplete,
         _Drain,
         _HeldList,
         _HeldLift,
