Probe soon what other quarantined segments explain

Cause: with two prompt segments that crash endpoints at the same time (eight endpoints, three nodes), callers who are in progress at most crashes, as victims, have as many crashes as either cause, and are quarantined beside them. Nothing with their segment is sent then, so no answer can clear them before their probe, 20 s to minutes later. Where nobody had been answered, such a caller also hid the causes, as it had more crashes. Capacity was not it: the refusals are all for callers' segments.

Change, in find_held_segments: - A segment is marked as explained if other quarantined ones were in progress at each of its crashes and it missed some crash of that time. It is probed 1.5 s after its latest crash, then after 3, 6, 12 s. A request under several quarantines is no such probe, unless the segments always came together. A cause that crashes its probe is explained no longer and waits as before. - Five crashes quarantine a segment that was never answered even if another, no narrower, has more. - A segment outweighs another only if it missed no crash of its time. - Presence is determined once for each quarantined segment, no longer for each pair.

--- a/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
+++ b/packages/wrenloft-policy/src/wrenloft_policy/_segment_crashes.py
@@ -6,7 +6,7 @@
 alone is common to all crashes.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass, field
 from enum import IntFlag
 
@@ -23,6 +23,10 @@
 """Crashes that quarantine a segment although a narrower one explains all others. A single one may
 be that of a request whose caller left as the endpoint crashed, so that nobody reported it."""
 
+CRASHES_BEYOND_SEGMENTS = 5
+"""Crashes that quarantine a segment which was never answered although another one, no narrower, has
+more. Each of several causes has fewer crashes than a victim of all; a probe soon clears that."""
+
 ANSWERED_CRASHES_TO_QUARANTINE = 5
 """Crashes before a segment is quarantined that had whole answers shortly before. It is probably in
 common use, and its quarantine would refuse a whole route or caller."""
@@ -73,6 +77,11 @@
 """Time from the latest crash to a probe of a segment that had whole answers before, which was more
 likely a victim."""
 
+EXPLAINED_PROBE_INTERVAL_SECONDS = 1.5
+"""Time from the latest crash to a probe of a segment whose crashes other quarantined segments
+explain. A further probe follows after as much time as had passed since the crash, so that nodes
+whose claims are refused make few of them."""
+
 ANSWERED_PROBE_GROWTH = 4.0
 """Factor for each crash beyond those that quarantine such a segment. With the usual factor of two,
 a segment that crashes engines would cost four of them in the first 75 s."""
@@ -138,6 +147,8 @@
     :param companions: segments and contents that all requests with it had in common at the crashes,
         itself included. Any of them may be the cause, so only requests with all are refused.
     :param answered: whether requests with it had whole answers.
+    :param explained: whether each of these crashes had another quarantined segment in progress, so
+        that it may be a victim of those.
     """
 
     segment: SegmentId
@@ -145,6 +156,7 @@
     crash_times: tuple[float, ...]
     companions: frozenset[str]
     answered: bool
+    explained: bool = False
 
     def concerns(self, workload: Workload) -> bool:
         """Return whether a request is refused on account of this segment."""
@@ -202,7 +214,8 @@
     segments = _find_suspects(recent)
     rivals = [*segments.values(), *_describe_contents(recent, contents)]
     held = [each for each in segments.values() if _is_held(each, rivals, recent, now)]
-    held = [each for each in held if not _is_outweighed(each, held, recent)]
+    presence = {each.name: _find_presence(each.name, recent) for each in held}
+    held = [each for each in held if not _is_outweighed(each, presence, recent)]
     return {
         SegmentId(each.name): HeldSegment(
             SegmentId(each.name),
@@ -210,6 +223,7 @@
             tuple(recent[key].at for key in sorted(each.crashes)),
             each.companions,
             each.answered,
+            _is_explained(each, held, presence, recent),
         )
         for each in held
     }
@@ -267,8 +281,10 @@
     remaining, unexplained = set(suspect.crashes), set(suspect.crashes)
     explaining = [each for each in rivals if each is not suspect and each.explains(suspect)]
     for rival in explaining if suspect.answered else _keep_one_content(suspect, explaining):
-        unexplained -= rival.crashes
-        if not rival.is_narrower(suspect):
+        if rival.is_narrower(suspect):
+            unexplained -= rival.crashes
+        elif rival.is_content or not _is_beyond_segments(suspect):
+            unexplained -= rival.crashes
             remaining -= rival.crashes
     needed = min(len(remaining), CRASHES_BEYOND_NARROWER)
     if len(remaining) < CRASHES_TO_QUARANTINE or len(unexplained) < needed:
@@ -278,6 +294,11 @@
     return _is_answered_held(suspect, unexplained, crashes, now)
 
 
+def _is_beyond_segments(suspect: _Suspect) -> bool:
+    """Return whether only a narrower segment, or a content, can explain a suspect's crashes."""
+    return not suspect.answered and len(suspect.crashes) >= CRASHES_BEYOND_SEGMENTS
+
+
 def _keep_one_content(suspect: _Suspect, rivals: Iterable[_Suspect]) -> list[_Suspect]:
     """Leave out all contents but the one that explains most crashes of a suspect.
 
@@ -314,28 +335,63 @@
     return share >= ANSWERED_SHARE or (lasting and len(times) >= ANSWERED_CRASHES_OF_ANY_SHARE)
 
 
-def _is_outweighed(suspect: _Suspect, held: Iterable[_Suspect], crashes: SegmentCrashes) -> bool:
-    """Return whether another segment was in progress at all crashes under a suspect, and at more.
+_Presence = Mapping[str, Set[IncarnationId]]
+"""The crashes at which each quarantined segment was in progress."""
+
+
+def _is_outweighed(suspect: _Suspect, presence: _Presence, crashes: SegmentCrashes) -> bool:
+    """Return whether another segment was in progress at all crashes of its time, unlike a suspect.
 
     This concerns segments that had whole answers before. One in common use that begins to crash
-    engines is still being answered at its first crashes, which then count against others only.
+    engines is still being answered at its first crashes, which then count against others only. If
+    the other one missed a crash there are several causes, and it may be a victim of all.
     """
     if not suspect.answered:
         return False
-    presence = _find_presence(suspect.name, crashes)
-    for other in held:
-        others = _find_presence(other.name, crashes)
-        if suspect.crashes <= others and len(others) > len(presence):
+    for others in presence.values():
+        outweighs = suspect.crashes <= others and len(others) > len(presence[suspect.name])
+        if outweighs and _find_meanwhile(others, crashes) <= others:
             return True
     return False
 
 
+def _is_explained(
+    suspect: _Suspect, held: Iterable[_Suspect], presence: _Presence, crashes: SegmentCrashes
+) -> bool:
+    """Return whether other quarantined segments were in progress at all crashes under a suspect.
+
+    Several causes at once have victims at as many crashes as each of them. Segments that the
+    requests with one of the two always had tell nothing, as a probe of one is a probe of both. A
+    suspect at every crash of its time may be the only cause, and is not explained.
+    """
+    own = presence[suspect.name]
+    if _find_meanwhile(own, crashes, AROUND_SECONDS) <= own:
+        return False
+    unexplained = set(suspect.crashes)
+    for other in held:
+        if suspect.name not in other.companions and other.name not in suspect.companions:
+            unexplained -= presence[other.name]
+    return not unexplained
+
+
+def _find_meanwhile(
+    keys: Collection[IncarnationId], crashes: SegmentCrashes, margin: float = 0.0
+) -> set[IncarnationId]:
+    """Return the crashes from the first to the last of some.
+
+    :param margin: seconds before and after these.
+    """
+    times = [crashes[each].at for each in keys]
+    begin, end = min(times) - margin, max(times) + margin
+    return {key for key, each in crashes.items() if begin <= each.at <= end}
+
+
 def _find_presence(name: str, crashes: SegmentCrashes) -> set[IncarnationId]:
     segment = SegmentId(name)
     return {
         key
         for key, crash in crashes.items()
-        if segment in crash.list_segments()
+        if any(segment in each.segments for each in crash.workloads)
         and not crash.evidence.get(segment, SegmentEvidence.NONE) & _EXONERATING
     }
 
@@ -357,6 +413,9 @@
     :param probe_at: time of the last probe known to this node.
     """
     last = max(probe_at, *held.crash_times)
+    if held.explained:
+        interval = max(EXPLAINED_PROBE_INTERVAL_SECONDS, last - max(held.crash_times))
+        return max(0.0, last + interval - now)
     if held.answered:
         first, growth = ANSWERED_PROBE_INTERVAL_SECONDS, ANSWERED_PROBE_GROWTH
         needed = ANSWERED_CRASHES_TO_QUARANTINE
--- a/packages/wrenloft-policy/tests/test_segment_crashes.py
+++ b/packages/wrenloft-policy/tests/test_segment_crashes.py
@@ -148,3 +148,44 @@
         assert all(later >= earlier for earlier, later in pairwise(delays))
     assert measure(3, answered=False) == 60.0
     assert [measure(number, answered=True) for number in (5, 6, 7)] == [5.0, 20.0, 80.0]
+
+
+def _two_causes(*more: str) -> dict[IncarnationId, SegmentCrash]:
+    """Return crashes under two segments in turn, at most of which ``v`` was in progress."""
+    others = ["u" if number in (3, 5) else "v" for number in range(10)]
+    texts = [f"bad{number % 2} x{number},{each} y{number}" for number, each in enumerate(others)]
+    return _crashes(*texts, *more)
+
+
+def test_common_victim_hides_no_segment() -> None:
+    """Guards against a cause that is sent on, as a victim of several causes has more crashes."""
+    assert _hold(_two_causes()) == {"bad0", "bad1", "v"}
+
+
+def test_segments_that_others_explain_are_told_from_a_cause() -> None:
+    """Guards against early probes of a segment that alone can be the cause of some crash."""
+
+    def list_explained(crashes: dict[IncarnationId, SegmentCrash]) -> set[str]:
+        held = find_held_segments(crashes, {}, NOW)
+        return {name for name, each in held.items() if each.explained}
+
+    assert list_explained(_two_causes()) == {"bad0", "v"}
+    assert list_explained(_two_causes("bad0 a")) == {"v"}
+    assert list_explained(_crashes("bad a", "bad b", "bad c")) == set()
+
+
+def test_segments_that_always_come_together_do_not_explain_each_other() -> None:
+    """Guards against early probes of segments of which no probe can show the cause."""
+    held = find_held_segments(_crashes("s bad", "s bad", "s bad"), {}, NOW)
+    assert not any(each.explained for each in held.values())
+
+
+def test_probes_of_explained_segments_become_rarer() -> None:
+    """Guards against claims of all nodes every second while no probe is answered."""
+    held = HeldSegment(SegmentId("s"), frozenset(), (NOW,), frozenset(), False, explained=True)
+    probes, at = [], float("-inf")
+    while len(probes) < 5:
+        at = max(NOW, at)
+        at += compute_segment_probe_delay(held, at if probes else float("-inf"), at)
+        probes.append(at - NOW)
+    assert probes == [1.5, 3.0, 6.0, 12.0, 24.0]
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_guard.py
@@ -10,6 +10,7 @@
 from wrenloft_policy import (
     ANSWER_DELAY_SECONDS,
     ANSWER_TTL_SECONDS,
+    EXPLAINED_PROBE_INTERVAL_SECONDS,
     PROBE_INTERVAL_SECONDS,
     HeldSegment,
     SegmentEvidence,
@@ -153,7 +154,9 @@
         if self.measure_retry_after(quarantine) > 0.0:
             return False
         self._probe_times.record(segment, read_clock())
-        claimed = await self._store.claim_segment(segment, PROBE_INTERVAL_SECONDS)
+        explained = quarantine.held.explained
+        seconds = EXPLAINED_PROBE_INTERVAL_SECONDS if explained else PROBE_INTERVAL_SECONDS
+        claimed = await self._store.claim_segment(segment, seconds)
         note(_LOG, "probe of quarantined segment", segment=segment, claimed=claimed)
         return claimed
 
@@ -222,6 +225,7 @@
             endpoints=sorted(held.crashes),
             companions=sorted(held.companions),
             answered=held.answered,
+            explained=held.explained,
             age_ms=round(quarantine.age * 1000) if quarantine is not None else None,
             source=quarantine.source.value if quarantine is not None else None,
         )
--- a/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_segment_ledger.py
@@ -285,7 +285,7 @@
         concerned = [each for each in concerned if each.concerns(workload)]
         if not concerned:
             return None
-        return self._describe(min(concerned, key=_order_held))
+        return self._describe(_choose_held(concerned))
 
     def get_quarantine(self, segment: SegmentId) -> SegmentQuarantine | None:
         """Return the quarantine of a segment, ``None`` if there is none."""
@@ -322,9 +322,25 @@
     return workload.content, sorted(workload.segments)
 
 
-def _order_held(held: HeldSegment) -> tuple[bool, int, SegmentId]:
+def _order_held(held: HeldSegment) -> tuple[bool, bool, int, SegmentId]:
     """Order first what is most certainly the cause."""
-    return held.answered, -len(held.crashes), held.segment
+    return held.explained, held.answered, -len(held.crashes), held.segment
+
+
+def _choose_held(concerned: Iterable[HeldSegment]) -> HeldSegment:
+    """Return for which of several quarantined segments a request is refused, or sent as a probe.
+
+    An early probe must show which segment is the cause. It has others only if the requests at the
+    crashes under its segment all had them.
+    """
+    ordered = sorted(concerned, key=_order_held)
+    if not ordered[0].explained:
+        return ordered[0]
+    names = {each.segment for each in ordered}
+    for each in ordered:
+        if names <= each.companions:
+            return each
+    return replace(ordered[0], explained=False)
 
 
 def _join_evidence(
--- a/packages/wrenloft-routing/tests/test_segment_fleet.py
+++ b/packages/wrenloft-routing/tests/test_segment_fleet.py
@@ -151,6 +151,23 @@
     check(model, *names)
 
 
+@pytest.mark.parametrize("seed", range(100, 104))
+@pytest.mark.parametrize(("after", "rate"), [(0.0, 4.0), (0.0, 15.0), (30.0, 1.0), (30.0, 4.0)])
+def test_victims_of_two_crashing_segments_are_served(
+    clock: Clock, seed: int, after: float, rate: float
+) -> None:
+    """Guards against holding back callers who are in progress at the crashes of both segments.
+
+    Nobody has been answered before the first crash, or everybody has, so that earlier answers tell
+    no segment from another.
+    """
+    bad = [Kind(each, add_segments(each), rate) for each in ("bad0", "bad1")]
+    crashes = crash_on("bad0", "bad1", after=after)
+    model = Model(clock, 3, [SOUND, *bad], crashes, seed=seed, engines=8)
+    model.run(after + 30.0)
+    check(model, "bad0", "bad1")
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_crashing_segments_of_the_same_requests_are_quarantined(clock: Clock, seed: int) -> None:
     """Guards against segments that hide each other as they always come together."""
--- a/packages/wrenloft-routing/tests/test_segment_guard.py
+++ b/packages/wrenloft-routing/tests/test_segment_guard.py
@@ -7,7 +7,12 @@
 from hypothesis import strategies as st
 
 from wrenloft_core import ContentId, IncarnationId, SegmentId
-from wrenloft_policy import ANSWER_DELAY_SECONDS, SegmentEvidence, Workload
+from wrenloft_policy import (
+    ANSWER_DELAY_SECONDS,
+    EXPLAINED_PROBE_INTERVAL_SECONDS,
+    SegmentEvidence,
+    Workload,
+)
 from wrenloft_routing import (
     CrashSource,
     EndpointFailure,
@@ -196,6 +201,56 @@
     assert node.store.calls[-1] == ("drop", BAD)
 
 
+def _fail_under_two_causes(clock: Clock) -> Node:
+    """Return a node at which endpoints failed under two segments in turn, mostly beside one."""
+    node = Node(clock)
+    for number in range(10):
+        clock.now += 0.5
+        cause = _workload(f"bad{number % 2}", f"x{number}")
+        other = "another" if number in (3, 5) else "victim"
+        node.fail(f"e{number}", cause, _workload(other, f"y{number}"))
+    return node
+
+
+async def test_common_victim_of_two_segments_is_probed_early(clock: Clock) -> None:
+    """Guards against callers that are refused for a minute, as they were at all crashes."""
+    node = _fail_under_two_causes(clock)
+    assert node.holds("victim") and node.holds("bad0") and node.holds("bad1")
+    clock.now += EXPLAINED_PROBE_INTERVAL_SECONDS
+    quarantine = node.guard.find_quarantine(_workload("victim"))
+    assert quarantine is not None
+    assert await node.guard.claim_probe(quarantine)
+    assert not await node.guard.claim_probe(quarantine)
+    node.answer("victim")
+    clock.now += ANSWER_DELAY_SECONDS
+    assert not node.holds("victim")
+    assert node.holds("bad0") and node.holds("bad1")
+
+
+async def test_request_with_several_quarantined_segments_is_no_early_probe(clock: Clock) -> None:
+    """Guards against a probe of a victim that crashes an endpoint by another segment."""
+    node = _fail_under_two_causes(clock)
+    clock.now += EXPLAINED_PROBE_INTERVAL_SECONDS
+    quarantine = node.guard.find_quarantine(_workload("victim", "bad0"))
+    assert quarantine is not None
+    assert not await node.guard.claim_probe(quarantine)
+
+
+async def test_cause_that_crashes_its_early_probe_waits_for_long(clock: Clock) -> None:
+    """Guards against early probes that cost an endpoint each time."""
+    node = _fail_under_two_causes(clock)
+    clock.now += EXPLAINED_PROBE_INTERVAL_SECONDS
+    probe = _workload("bad0", "x")
+    quarantine = node.guard.find_quarantine(probe)
+    assert quarantine is not None
+    assert await node.guard.claim_probe(quarantine)
+    node.fail("probed", probe)
+    clock.now += 10 * EXPLAINED_PROBE_INTERVAL_SECONDS
+    quarantine = node.guard.find_quarantine(probe)
+    assert quarantine is not None
+    assert not await node.guard.claim_probe(quarantine)
+
+
 def test_operator_lifts_a_quarantine(clock: Clock) -> None:
     """Crashes known when a quarantine is lifted no longer count, at any node."""
     node, other = Node(clock), Node(clock)
