Soak of real processes with silent endpoints beside changes and stops

Cause: no run of ours made a sound endpoint silent for a moment, so that answers taken away by a node were seen by users first.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 WEIGHTS ?=
 HOSTS ?= 24
 GOAL ?= time
+SEEDS ?= 100-149
 
-.PHONY: demo test lint types unit prove generate bench-weights bench-requests bench-control bench-content bench-limits
+.PHONY: demo test lint types unit prove generate bench-weights bench-requests bench-control bench-content bench-limits soak
 
 $(READY): constraints.txt requirements-build.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -45,6 +46,9 @@
 bench-limits: $(READY)
 	$(BIN)/python bench/limits.py
 
+soak: $(READY)
+	$(BIN)/python bench/soak.py --seeds $(SEEDS)
+
 bench-control: $(READY)
 	$(BIN)/python bench/control.py
 
