Soak entry nodes with bounded memory, and silences behind a stream's last event

Cause: the nodes' writes take another path where their memory is bounded, and no pause fell between a stream's last event and its end.

Change: a seed draws whether memory is bounded; endpoints wait a moment before the end; a run that ends with an error is reported and doesn't end the soak.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,13 +9,14 @@
 import shutil
 import sys
 import tempfile
+import traceback
 from collections import Counter
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
-from tests.soak.course import Size, run_seed  # noqa: E402
+from tests.soak.course import Report, Size, run_seed  # noqa: E402
 
 
 def parse_seeds(text: str) -> list[int]:
@@ -36,6 +37,15 @@
     return ", ".join(f"{name}: {count}" for name, count in sorted(counts.items())) or "none"
 
 
+def run(seed: int, size: Size, folder: Path) -> Report:
+    """Run a seed; a run that ends with an error counts as a violation."""
+    try:
+        return asyncio.run(run_seed(seed, size, folder))
+    except Exception as error:
+        traceback.print_exc()
+        return Report([f"ended with an error: {error!r}"], Counter(), [])
+
+
 def main() -> int:
     """Run all seeds; return 1 if one showed a violation."""
     parser = argparse.ArgumentParser()
@@ -47,7 +57,7 @@
     failed = []
     for seed in options.seeds:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        report = asyncio.run(run_seed(seed, pick_size(options.processes, seed), folder))
+        report = run(seed, pick_size(options.processes, seed), folder)
         print(f"seed {seed}: {len(report.violations)} violations; {join_counts(report.counts)}")
         if report.violations:
             failed.append(seed)
--- a/tests/soak/course.py
+++ b/tests/soak/course.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from wrenloft_platform import _names as names
+
 from ..platform.conftest import StandinStore
 from .callers import Caller
 from .checks import Record
@@ -23,6 +25,9 @@
 RETRY_BUDGETS = ((0.2, 50.0), (0.2, 50.0), (0.02, 9.0), (0.0, 0.0))
 """Ratio and slack of the retry budget, one of which a seed draws."""
 
+MEMORY_MB = 600.0
+"""Memory that an entry node may use in runs in which it is bounded."""
+
 
 @dataclass(frozen=True)
 class Size:
@@ -54,10 +59,12 @@
     ratio, slack = random.choice(RETRY_BUDGETS)
     bounds = {"grace": GRACE_SECONDS, "revoke": random.choice((0.0, 5.0))}
     bounds |= {"retry_ratio": ratio, "retry_slack": slack}
+    bounded = {"contracts": [names.PRESSURE_CONTRACT], "memory_mb": MEMORY_MB}
+    changes = {"bounds": bounds, "log_lines": 5000, **random.choice(({}, bounded))}
     async with AsyncExitStack() as stack:
         store = await _start_store(stack)
         fleet = Fleet(folder, store, Random(random.random()), stack, configuration)
-        await fleet.start(size.entries, size.endpoints, bounds)
+        await fleet.start(size.entries, size.endpoints, **changes)
         callers = [
             Caller(f"s{seed}-{n}", Random(random.random()), fleet.list_fronts)
             for n in range(size.callers)
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -137,6 +137,7 @@
             self.writer.write(data[middle:])
             await self.writer.drain()
         if chunked:
+            await self._sleep(_STEP_SECONDS)
             self.writer.write(b"0\r\n\r\n")
         await self.writer.drain()
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -118,8 +118,11 @@
     refusals: int = 0
     faults: list[str] = field(default_factory=list)
 
-    async def start(self, entry_count: int, endpoint_count: int, bounds: dict[str, Any]) -> None:
-        """Start all processes, and wait until the entry nodes are ready."""
+    async def start(self, entry_count: int, endpoint_count: int, **changes: Any) -> None:
+        """Start all processes, and wait until the entry nodes are ready.
+
+        :param changes: settings of the entry nodes.
+        """
         self.write_configuration()
         for number in range(endpoint_count):
             await self._add_endpoint(SERVICES[number % 3 // 2])
@@ -127,8 +130,7 @@
         for number in range(entry_count):
             name = f"entry-{number}"
             path = self.folder / f"{name}.toml"
-            changes = {"name": name, "log_lines": 5000, "bounds": bounds}
-            settings = write_settings(path, self.store.address, **changes)
+            settings = write_settings(path, self.store.address, name=name, **changes)
             process = await self._start_entry(path)
             node = Node(process, settings, client, path, [Incarnation(time.monotonic())])
             self.nodes.append(node)
