Count a request that a stop ends without any part of an answer as lost in the soak

Cause: the soak let a node that stops cut any request that was still being worked on late in its grace, also one that it could still answer with a failure of its own.

Change: only answers that have begun may be cut then.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -147,7 +147,7 @@
             yield "success without an endpoint", course
         if runs and exchange.answer.status in NOT_RUN_STATUSES and not exchange.route.idempotent:
             yield "refused although it ran", course
-        elif runs and not self._may_end(exchange, runs):
+        elif runs and not self._is_late(exchange) and not self._is_cut_by_stop(exchange, runs):
             yield "answer replaced by a failure", course
 
     def _check_lost(self, exchange: Exchange, runs: list[Run], course: str) -> Found:
@@ -157,24 +157,24 @@
         crossing = exchange.ended_at - exchange.sent_at <= CROSSING_SECONDS
         if untouched and not exchange.answer.status and stopping and crossing:
             return  # sent while the node closed the connection; callers send it elsewhere
-        if not self._may_end(exchange, runs):
+        # A node that stops can still give a failure where no part of an answer has been sent.
+        cut_by_stop = exchange.answer.status and self._is_cut_by_stop(exchange, runs)
+        if not self._is_late(exchange) and not cut_by_stop:
             yield "lost", course
 
     def _find_incarnation(self, exchange: Exchange) -> Incarnation:
         return self.nodes[exchange.node].find_incarnation(exchange.opened_at)
 
-    def _may_end(self, exchange: Exchange, runs: list[Run]) -> bool:
-        """Return whether an entry node could end a request that an endpoint may still answer.
-
-        Its deadline or its route's timeout must have passed, or it was still being worked on late
-        in the grace of a node that stops.
-        """
+    def _is_late(self, exchange: Exchange) -> bool:
+        """Return whether its deadline or its route's timeout had passed."""
         start = exchange.begun_at
         timeout = self.configuration.find_shortest_timeout(
             exchange.name, start - CONFIGURATION_SECONDS, exchange.sent_at
         )
-        if exchange.ended_at >= start + min(exchange.deadline, timeout):
-            return True
+        return exchange.ended_at >= start + min(exchange.deadline, timeout)
+
+    def _is_cut_by_stop(self, exchange: Exchange, runs: list[Run]) -> bool:
+        """Return whether it was still being worked on late in the grace of a node that stops."""
         signalled_at = self._find_incarnation(exchange).signalled_at
         late = signalled_at + GRACE_SECONDS * LATE_SHARE
         return (
