--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,9 +5,10 @@
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
@@ -117,6 +118,7 @@
     silences: list[Silence] = field(default_factory=list)
     refusals: int = 0
     faults: list[str] = field(default_factory=list)
+    _numbers: Iterator[int] = field(default_factory=count)
 
     async def start(self, entry_count: int, endpoint_count: int, **changes: Any) -> None:
         """Start all processes, and wait until the entry nodes are ready.
@@ -159,7 +161,7 @@
         return process
 
     async def _add_endpoint(self, service: str) -> None:
-        name = f"i{len(self.endpoints) + len(self.retired)}"
+        name = f"i{next(self._numbers)}"
         journal = self.folder / f"{name}.jsonl"
         port, slots = find_free_port(), self.random.choice((8, 16, 24))
         path = os.pathsep.join([str(ROOT / "platform"), os.environ.get("PYTHONPATH", "")])
