Settle what competing attempts hold, whichever of them ends first

- A body that was being read was read anew just before its deadline, without the part that had arrived, and passed on as whole: uvloop ends a timeout up to 1.3 ms early.
Only reads of events, which keep what they have, are cancelled and repeated now.
- An event without an id (a comment, "retry:") of the endpoint that should resume a stream closed the silent one.
It has to continue the stream by its id now, and a stream without ids is not resumed.
- An answer that was being forwarded was aborted when another one was complete; a kept failure was sent while an endpoint still worked, or began another answer.
The winner is settled before each answer, and all attempts are closed before a kept failure is sent.
- A retry that waited for a place was kept from a request whose only attempt broke off, and was lost if its placement was cancelled or replaced.
The budget is charged once there is a place; what is charged and not sent is returned.
- A request whose answer found no room in memory could be refused as not run.
- A head that arrived behind the winner left its connection open.

The second attempt is named as usual, a hedge, in code.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from math import inf
 from types import TracebackType
 from typing import Any, cast
@@ -20,8 +21,8 @@
 from wrenloft_routing._streams import EventReader, StreamEnd
 
 SECOND_RETRY_SECONDS = 0.25
-"""Interval at which another attempt beside a silent one is reconsidered: retries become available
-again, and endpoints that were full get room."""
+"""Interval at which a hedge of a silent attempt is reconsidered: retries become available again,
+and endpoints that were full get room."""
 
 
 class Phase(Enum):
@@ -34,6 +35,9 @@
     FAILURE_BODY = "failure body"
 
 
+_EVENT_PHASES = frozenset({Phase.FIRST_EVENT, Phase.GAP})
+
+
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
     """A complete answer that is no stream.
@@ -52,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ShortAnswer:
+class AnswerTooLarge:
     """An answer for which there is no memory, and that can't be forwarded as it arrives."""
 
     reason: str
@@ -67,7 +71,7 @@
     | StreamEnd
     | WholeAnswer
     | BrokenAnswer
-    | ShortAnswer
+    | AnswerTooLarge
 )
 """What one step of an attempt gave."""
 
@@ -76,23 +80,31 @@
 class AttemptProgress:
     """The state of one attempt.
 
+    :param running: as known to the failure detector.
     :param begin_by: when it is cancelled unless it has begun.
     :param limit_known: whether the endpoint's rate limit was known when it was sent.
-    :param patience: seconds of silence after which another endpoint is tried beside it, infinite if
-        none may be.
+    :param charged: whether the retry budget was charged for it.
+    :param patience: seconds of silence after which it is hedged, infinite if it may not be.
     :param heard_at: when part of the answer last arrived; the start of the attempt before that.
     :param cleanup: ends the work at the endpoint and releases what is held for it.
-    :param wait: waits for the next part of the answer; may be cancelled and called again.
-    :param step: waits for the next part while other attempts are open.
+    :param load: what it adds to the endpoint's load.
+    :param phase: what it waits for.
+    :param reply: the head of the answer, once it has arrived.
+    :param events: reads the answer if it is a stream.
+    :param wait: waits for the next part of the answer. While it waits for events, it may be
+        cancelled and called again.
+    :param step: the task that waits for the next part, if it has one.
     :param cancelled: set if this node ended it before it had begun.
     :param silent_since: set while it is silent.
-    :param reviewed_at: when another attempt beside it was last found impossible.
+    :param reviewed_at: when a hedge was last considered.
+    :param refusal: why none was made, as last logged.
     """
 
     placed: Placed
     running: RunningRequest
     begin_by: float
     limit_known: bool
+    charged: bool
     patience: float
     heard_at: float
     cleanup: AsyncExitStack
@@ -118,8 +130,8 @@
         return self.placed.state.endpoint.agent_id
 
     @property
-    def silent_at(self) -> float:
-        """When another endpoint is next tried beside it, unless part of the answer arrives."""
+    def next_review_at(self) -> float:
+        """When a hedge is next considered, unless part of the answer arrives."""
         return max(self.heard_at + self.patience, self.reviewed_at + SECOND_RETRY_SECONDS)
 
     def cancel(self, reason: Lost) -> None:
@@ -133,6 +145,8 @@
         if self.step is None:
             assert self.wait is not None
             self.step = asyncio.ensure_future(self.wait())
+            if self.cancelled is not None:
+                self.step.cancel()
         return self.step
 
     def take_result(self) -> Result:
@@ -141,7 +155,11 @@
         step, self.step = self.step, None
         if step.cancelled() and self.cancelled is not None:
             return self.cancelled
-        return step.result()
+        result = step.result()
+        if self.phase is Phase.HEAD and not isinstance(result, NotSent | Rejected | Lost):
+            self.reply = cast(Reply, result)
+            self.cleanup.push_async_callback(partial(self.reply.close, reusable=False))
+        return result
 
     async def close(self) -> None:
         """End the work at the endpoint."""
@@ -167,48 +185,49 @@
 
 @dataclass(slots=True)
 class OpenAttempts:
-    """The open attempts of one request, the latest last, and the choice of a further endpoint.
+    """The open attempts of one request, the latest last.
 
-    :param choice: chooses an endpoint to be tried beside silent ones.
+    :param placement: places a hedge of silent attempts, or a retry while others are open.
     :param winner: the attempt whose answer the caller gets.
     """
 
     attempts: list[AttemptProgress] = field(default_factory=list)
-    choice: asyncio.Task[Placed | Refused] | None = None
+    placement: asyncio.Task[Placed | Refused] | None = None
     winner: AttemptProgress | None = None
 
     def __bool__(self) -> bool:
-        return bool(self.attempts) or self.choice is not None
+        return bool(self.attempts) or self.placement is not None
 
     @property
     def is_single(self) -> bool:
         """Whether one attempt is open that nothing competes with."""
-        return len(self.attempts) == 1 and self.choice is None and self.attempts[0].step is None
+        return len(self.attempts) == 1 and self.placement is None and self.attempts[0].step is None
 
     @property
     def all_silent(self) -> bool:
         """Whether none may be expected to answer soon."""
-        return self.choice is None and all(
+        return self.placement is None and all(
             each.silent_since is not None or each.phase is Phase.FAILURE_BODY
             for each in self.attempts
         )
 
-    def begin_choice(self, choose: Coroutine[Any, Any, Placed | Refused]) -> None:
-        """Choose a further endpoint in the background."""
-        self.choice = asyncio.create_task(choose)
+    def begin_placement(self, place: Callable[[], Coroutine[Any, Any, Placed | Refused]]) -> None:
+        """Place a further attempt in the background, unless one is being placed."""
+        if self.placement is None:
+            self.placement = asyncio.create_task(place())
 
-    def take_choice(self) -> Placed | Refused | None:
-        """Return the choice if it has been made."""
-        if self.choice is None or not self.choice.done():
+    def take_placement(self) -> Placed | Refused | None:
+        """Return where a further attempt was placed, if that is decided."""
+        if self.placement is None or not self.placement.done():
             return None
-        choice, self.choice = self.choice, None
-        return choice.result()
+        placement, self.placement = self.placement, None
+        return placement.result()
 
     async def wait(self, seconds: float) -> None:
-        """Wait until a step or the choice is finished, at most for some time."""
+        """Wait until a step or the placement is finished, at most for some time."""
         tasks: list[asyncio.Future[Any]] = [each.begin_step() for each in self.attempts]
-        if self.choice is not None:
-            tasks.append(self.choice)
+        if self.placement is not None:
+            tasks.append(self.placement)
         await asyncio.wait(tasks, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
 
     def find_finished(self) -> AttemptProgress | None:
@@ -232,17 +251,14 @@
             self.winner = None
         await attempt.close()
 
-    async def cancel_choice(self) -> Placed | None:
-        """Cancel the choice; return the endpoint if it was just made."""
-        choice, self.choice = self.choice, None
-        if choice is None:
-            return None
-        choice.cancel()
-        await asyncio.wait([choice])
-        if choice.cancelled() or choice.exception() is not None:
-            return None
-        result = choice.result()
-        return result if isinstance(result, Placed) else None
+    async def cancel_placement(self) -> None:
+        """Place no further attempt."""
+        placement, self.placement = self.placement, None
+        if placement is not None:
+            placement.cancel()
+            await asyncio.wait([placement])
+            if not placement.cancelled():
+                placement.exception()  # retrieved, as nobody waits for it any more
 
     async def __aenter__(self) -> "OpenAttempts":
         return self
@@ -256,7 +272,7 @@
         async with AsyncExitStack() as stack:
             for each in self.attempts:
                 stack.push_async_callback(each.close)
-            stack.push_async_callback(self.cancel_choice)
+            stack.push_async_callback(self.cancel_placement)
 
 
 async def read_whole(relay: Callable[[], Awaitable[bytes | None]]) -> Result:
@@ -264,7 +280,7 @@
     try:
         return WholeAnswer(await relay())
     except AnswerShortageError as error:
-        return ShortAnswer(str(error))
+        return AnswerTooLarge(str(error))
     except ReplyBrokenError as error:
         return BrokenAnswer(str(error))
 
@@ -272,9 +288,10 @@
 async def wait_alone(attempt: AttemptProgress, seconds: float) -> Result | None:
     """Wait for the next part of the only open attempt; ``None`` if it does not come in time.
 
-    Events are read without a task of their own, which costs less where nothing is silent.
+    Events are read without a task of their own, which costs less where nothing is silent; their
+    reader keeps what it has when it is cancelled. All else would be lost.
     """
-    if attempt.phase is Phase.HEAD or attempt.step is not None:
+    if attempt.phase not in _EVENT_PHASES or attempt.step is not None:
         await asyncio.wait([attempt.begin_step()], timeout=seconds)
         return attempt.take_result() if attempt.begin_step().done() else None
     assert attempt.wait is not None
--- a/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
@@ -52,6 +52,10 @@
         """Deposit the share of one request for a service."""
         self._account(service, now).tokens += self._ratio
 
+    def has_retry(self, service: ServiceName, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._account(service, now).tokens >= 1.0
+
     def withdraw(self, service: ServiceName, now: float) -> bool:
         """Withdraw one retry; return whether there was one left."""
         account = self._account(service, now)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Sequence, Set
 from contextlib import AsyncExitStack
 from functools import partial
+from itertools import dropwhile
 from math import inf
 from random import Random
 
@@ -23,12 +24,12 @@
 )
 from wrenloft_routing._answers import relay_answer
 from wrenloft_routing._attempts import (
+    AnswerTooLarge,
     AttemptProgress,
     BrokenAnswer,
     OpenAttempts,
     Phase,
     Result,
-    ShortAnswer,
     WholeAnswer,
     read_whole,
     wait_alone,
@@ -108,6 +109,8 @@
 """Remaining seconds below which a request is no longer sent: the round trip takes 8 ms, and a plain
 service works on a request for 20 ms."""
 
+_NO_RETRY_LEFT = "no second try left in the budget"
+
 _DEADLINE_STEPS = {
     Phase.HEAD: "send",
     Phase.FIRST_EVENT: "stream",
@@ -219,13 +222,16 @@
     async def _run(self, progress: RequestProgress, sink: AnswerSink) -> Outcome:
         """Send attempts until one gives the answer or no further one is allowed."""
         self._budget.deposit(progress.service.name, read_clock())
-        async with OpenAttempts() as attempts:
-            while True:
-                outcome = await self._start_next(progress, attempts)
-                if outcome is None:
-                    outcome = await self._follow(progress, attempts, sink)
-                if outcome is not None:
-                    return await self._conclude(progress, outcome, sink)
+        outcome: Outcome | None = None
+        try:
+            async with OpenAttempts() as attempts:
+                while outcome is None:
+                    outcome = await self._start_next(progress, attempts)
+                    if outcome is None:
+                        outcome = await self._follow(progress, attempts, sink)
+        finally:
+            self._return_retries(progress)
+        return await self._conclude(progress, outcome, sink)
 
     async def _start_next(
         self, progress: RequestProgress, attempts: OpenAttempts
@@ -242,6 +248,20 @@
                 return None
             # Otherwise the update arrived while the request waited.
 
+    def _charge_retry(self, progress: RequestProgress) -> bool:
+        """Charge the retry budget for an attempt, unless one is already charged and not sent."""
+        if not progress.unsent_retries:
+            if not self._budget.withdraw(progress.service.name, read_clock()):
+                return False
+            progress.unsent_retries = 1
+        return True
+
+    def _return_retries(self, progress: RequestProgress) -> None:
+        """Return the retries to the budget that were charged and not sent."""
+        for _ in range(progress.unsent_retries):
+            self._budget.refund(progress.service.name)
+        progress.unsent_retries = 0
+
     async def _conclude(
         self, progress: RequestProgress, outcome: Outcome, sink: AnswerSink
     ) -> Outcome:
@@ -345,6 +365,8 @@
         beside = [each.peer for each in attempts.attempts]
         log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness, beside)
         progress.attempts += 1
+        charged = progress.unsent_retries > 0
+        progress.unsent_retries -= charged
         cleanup = AsyncExitStack()
         running = cleanup.enter_context(
             self._detector.track_request(placed.states, progress.workload)
@@ -355,6 +377,7 @@
             running,
             begin_by=now + begin_limit - BEGIN_MARGIN_SECONDS,
             limit_known=rate_limit is not None,
+            charged=charged,
             patience=self._measure_patience(progress),
             heard_at=now,
             cleanup=cleanup,
@@ -402,15 +425,15 @@
             outcome = await self._handle_result(progress, attempts, finished, result, sink)
             if outcome is not None:
                 return outcome
-        choice = attempts.take_choice()
-        if choice is not None:
-            return self._handle_choice(progress, attempts, choice)
+        placement = attempts.take_placement()
+        if placement is not None:
+            return self._handle_placement(progress, attempts, placement)
         return None
 
     def _find_next_check(self, progress: RequestProgress, attempts: OpenAttempts) -> float:
         times = [progress.deadline]
         for each in attempts.attempts:
-            times.append(each.silent_at)
+            times.append(each.next_review_at)
             if self._must_begin(progress, each):
                 times.append(each.begin_by)
         return min(times)
@@ -426,13 +449,13 @@
         now = read_clock()
         for attempt in list(attempts.attempts):
             if self._must_begin(progress, attempt) and now >= attempt.begin_by:
-                # Cancelled ahead of a version's deadline, which is no fault of the endpoint.
-                # Counted as a failure, it excluded every engine for 1.5 s after each swap.
+                # No fault of the endpoint: counted as a failure, it would exclude every engine
+                # after each swap.
                 late = Lost("not begun before the version is due", at_fault=False)
                 outcome = await self._end_failed(progress, attempts, attempt, late)
                 if outcome is not None:
                     return outcome
-            elif now >= attempt.silent_at:
+            elif now >= attempt.next_review_at:
                 self._review_silence(progress, attempts, attempt, now)
         return None
 
@@ -443,61 +466,60 @@
         attempt: AttemptProgress,
         now: float,
     ) -> None:
-        """Try another endpoint beside a silent attempt, which may still go on."""
+        """Hedge a silent attempt, which may still go on."""
         if attempt.silent_since is None:
             attempt.silent_since = attempt.heard_at
             log_silence(progress, attempt)
             self._record_silence(attempt, now)
         attempt.reviewed_at = now
         if attempts.all_silent and self._can_retry(progress):
-            attempts.begin_choice(self._choose_beside(progress, attempts, attempt))
+            attempts.begin_placement(partial(self._place_hedge, progress, attempts, attempt))
 
     def _record_silence(self, attempt: AttemptProgress, now: float) -> None:
         self._endpoints.record_silence(attempt.state, attempt.heard_at, now)
         for state in attempt.placed.states:
             self._detector.record_silence(state, attempt.running)
 
-    async def _choose_beside(
-        self,
-        progress: RequestProgress,
-        attempts: OpenAttempts,
-        silent: AttemptProgress | None,
-        *,
-        paid: bool = False,
+    async def _place_hedge(
+        self, progress: RequestProgress, attempts: OpenAttempts, silent: AttemptProgress
     ) -> Placed | Refused:
-        """Choose an endpoint for an attempt beside the open ones.
-
-        :param silent: the attempt whose silence calls for it.
-        :param paid: whether the retry budget was charged for it.
-        """
-        if silent is not None and await self._may_have_crashed(progress, silent.placed):
+        """Place an attempt to be made while a silent one stays open."""
+        if await self._may_have_crashed(progress, silent.placed):
             return Refused("it may have crashed the endpoint", 0)
-        if not paid and not self._budget.withdraw(progress.service.name, read_clock()):
-            return Refused("no second try left in the budget", 0)
-        chosen: Placed | Refused = Refused("quarantined", 0)
-        try:
-            if self._guard.find_refusal(progress.workload) is None:
-                chosen = await self._place(progress, {each.peer for each in attempts.attempts})
-        finally:
-            if not isinstance(chosen, Placed):
-                self._budget.refund(progress.service.name)
-        return chosen
+        if not self._budget.has_retry(progress.service.name, read_clock()):
+            return Refused(_NO_RETRY_LEFT, 0)
+        return await self._place_further(progress, attempts)
+
+    async def _place_further(
+        self, progress: RequestProgress, attempts: OpenAttempts
+    ) -> Placed | Refused:
+        """Place an attempt while others are open.
 
-    def _handle_choice(
-        self, progress: RequestProgress, attempts: OpenAttempts, choice: Placed | Refused
+        The budget is charged once there is a place: one that is still waited for would keep a retry
+        from a request whose only attempt broke off.
+        """
+        if self._guard.find_refusal(progress.workload) is not None:
+            return Refused("quarantined", 0)
+        placed = await self._place(progress, {each.peer for each in attempts.attempts})
+        if isinstance(placed, Placed) and not self._charge_retry(progress):
+            return Refused(_NO_RETRY_LEFT, 0)
+        return placed
+
+    def _handle_placement(
+        self, progress: RequestProgress, attempts: OpenAttempts, placement: Placed | Refused
     ) -> Outcome | None:
-        refused = choice if isinstance(choice, Refused) else None
-        if refused is None and self._guard.find_refusal(progress.workload) is not None:
-            self._budget.refund(progress.service.name)
-            refused = Refused("quarantined", 0)
-        if refused is None:
-            assert isinstance(choice, Placed)
-            self._start_attempt(progress, choice, attempts)
+        if attempts.winner is not None:
+            self._return_retries(progress)
             return None
+        if isinstance(placement, Placed):
+            if self._guard.find_refusal(progress.workload) is None:
+                self._start_attempt(progress, placement, attempts)
+                return None
+            placement = Refused("quarantined", 0)
+        self._return_retries(progress)
         if not attempts.attempts:
-            return give_up(progress, "place", refused, self._random)
-        for each in attempts.attempts:
-            log_no_second_attempt(progress, each, refused.reason)
+            return give_up(progress, "place", placement, self._random)
+        self._keep_waiting(progress, attempts, placement.reason)
         return None
 
     def _end_at_deadline(self, progress: RequestProgress, attempts: OpenAttempts) -> Outcome:
@@ -530,7 +552,7 @@
             return await self._handle_events(progress, attempts, attempt, result, sink)
         if isinstance(result, StreamEnd):
             return await self._handle_stream_end(progress, attempts, attempt, result, sink)
-        if isinstance(result, WholeAnswer | BrokenAnswer | ShortAnswer):
+        if isinstance(result, WholeAnswer | BrokenAnswer | AnswerTooLarge):
             return await self._handle_whole(progress, attempts, attempt, result, sink)
         return await self._handle_reply(progress, attempts, attempt, result, sink)
 
@@ -566,6 +588,7 @@
         progress.tried.update(each.endpoint.agent_id for each in at_fault)
         if isinstance(result, NotSent):
             progress.attempts -= 1
+            progress.unsent_retries += attempt.charged
             progress.connect_seconds += read_clock() - attempt.running.sent_at
             return self._after_not_sent(progress, attempts, state, result)
         if isinstance(result, Rejected):
@@ -654,7 +677,7 @@
 
     def _can_retry(self, progress: RequestProgress) -> bool:
         allowed = progress.rule.idempotent and not progress.is_probe
-        allowed = allowed and not progress.answer_begun
+        allowed = allowed and not progress.answer_begun and progress.can_resume
         return allowed and progress.attempts < progress.rule.max_attempts
 
     def _after_not_sent(
@@ -668,11 +691,11 @@
         self._detector.record_unreachable(state)
         progress.not_sent += 1
         if progress.connect_seconds <= _MAX_CONNECT_SECONDS:
-            if attempts:
-                attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+            if attempts.all_silent and attempts:
+                attempts.begin_placement(partial(self._place_further, progress, attempts))
             return None
         if attempts:
-            self._budget.refund(progress.service.name)
+            self._return_retries(progress)
             self._keep_waiting(progress, attempts, result.reason)
             return None
         return give_up(progress, "connect", Refused(result.reason, 1), self._random)
@@ -699,9 +722,9 @@
         if attempts and not attempts.all_silent:
             return None
         allowed = progress.attempts < progress.rule.max_attempts and not progress.is_probe
-        if allowed and self._budget.withdraw(progress.service.name, now):
+        if allowed and self._charge_retry(progress):
             if attempts:
-                attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+                attempts.begin_placement(partial(self._place_further, progress, attempts))
             return None
         if attempts:
             self._keep_waiting(progress, attempts, result.reason)
@@ -729,12 +752,12 @@
         if self._can_retry(progress) and progress.left > _MIN_TIME_LEFT_SECONDS:
             if await self._may_have_crashed(progress, attempt.placed):
                 reason = f"{reason}; it may have crashed the endpoint"
-            elif self._budget.withdraw(progress.service.name, read_clock()):
+            elif self._charge_retry(progress):
                 if attempts:
-                    attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+                    attempts.begin_placement(partial(self._place_further, progress, attempts))
                 return None
             else:
-                reason = f"{reason}; no second try left in the budget"
+                reason = f"{reason}; {_NO_RETRY_LEFT}"
         if attempts:
             self._keep_waiting(progress, attempts, reason)
             return None
@@ -762,8 +785,6 @@
         """Begin to read an answer, or reject it as invalid."""
         state = attempt.state
         self._opening.pop(attempt.running, None)
-        attempt.reply = reply
-        attempt.cleanup.push_async_callback(partial(reply.close, reusable=False))
         now = read_clock()
         self._record_heard(attempt)
         self._endpoints.record_header_load(state, reply.load, now)
@@ -805,13 +826,11 @@
 
         Its answer is kept until then: a retry that was paid for may be refused.
         """
-        if attempts.choice is not None or len(attempts.attempts) > 1:
+        if attempts.placement is not None or len(attempts.attempts) > 1:
             return True
-        if not self._can_retry(progress):
-            return False
-        if not self._budget.withdraw(progress.service.name, read_clock()):
+        if not self._can_retry(progress) or not self._charge_retry(progress):
             return False
-        attempts.begin_choice(self._choose_beside(progress, attempts, None, paid=True))
+        attempts.begin_placement(partial(self._place_further, progress, attempts))
         return True
 
     async def _end_silence(
@@ -823,11 +842,11 @@
         log_silence_end(progress, attempt)
         attempt.silent_since = None
         attempt.refusal = ""
-        await self._cancel_choice(progress, attempts)
+        await self._cancel_placement(progress, attempts)
 
-    async def _cancel_choice(self, progress: RequestProgress, attempts: OpenAttempts) -> None:
-        if await attempts.cancel_choice() is not None:
-            self._budget.refund(progress.service.name)
+    async def _cancel_placement(self, progress: RequestProgress, attempts: OpenAttempts) -> None:
+        await attempts.cancel_placement()
+        self._return_retries(progress)
 
     async def _keep_only(
         self, progress: RequestProgress, attempts: OpenAttempts, winner: AttemptProgress
@@ -838,7 +857,7 @@
         """
         if not attempts.claim(winner):
             raise ReplyBrokenError("superseded")
-        await self._cancel_choice(progress, attempts)
+        await self._cancel_placement(progress, attempts)
         for each in list(attempts.attempts):
             if each is not winner:
                 ATTEMPTS.labels("superseded").inc()
@@ -854,6 +873,11 @@
         sink: AnswerSink,
     ) -> Outcome | None:
         """Forward events; the first attempt that has any goes on alone."""
+        if progress.stream.begun and attempt.phase is not Phase.GAP:
+            # Events without an id don't show that this endpoint goes on with the stream.
+            events = list(dropwhile(lambda each: each.number is None, events))
+            if not events:
+                return None
         if not progress.stream.continues_with(events):
             return await self._end_broken_stream(progress, attempts, attempt)
         attempts.claim(attempt)
@@ -896,7 +920,9 @@
             return await self._end_broken_stream(progress, attempts, attempt)
         if not reply.framed and await self._detector.has_ended(attempt.state):
             return await self._end_broken_stream(progress, attempts, attempt)
-        attempts.claim(attempt)
+        if not attempts.claim(attempt):
+            await attempts.drop(attempt)
+            return None
         await self._end_silence(progress, attempts, attempt)
         await self._keep_only(progress, attempts, attempt)
         await self._release_connection(attempt, reply)
@@ -917,12 +943,13 @@
         progress: RequestProgress,
         attempts: OpenAttempts,
         attempt: AttemptProgress,
-        result: WholeAnswer | BrokenAnswer | ShortAnswer,
+        result: WholeAnswer | BrokenAnswer | AnswerTooLarge,
         sink: AnswerSink,
     ) -> Outcome | None:
         reply = attempt.reply
         assert reply is not None
-        if isinstance(result, ShortAnswer):
+        if isinstance(result, AnswerTooLarge):
+            progress.may_have_run = True
             await attempts.drop(attempt)
             if attempts:
                 self._keep_waiting(progress, attempts, f"memory: {result.reason}")
@@ -936,7 +963,9 @@
             return await self._discard_reply(progress, attempts, attempt, reason)
         if attempt.phase is Phase.FAILURE_BODY and result.body is not None:
             return await self._keep_failure(progress, attempts, attempt, result.body)
-        attempts.claim(attempt)
+        if not attempts.claim(attempt):
+            await attempts.drop(attempt)
+            return None
         await self._keep_only(progress, attempts, attempt)
         await self._release_connection(attempt, reply)
         self._endpoints.record_success(attempt.state)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_progress.py
@@ -26,6 +26,7 @@
 
     :param regions: in which it may be served, ``None`` for all.
     :param attempts: sent to endpoints, whatever became of them.
+    :param unsent_retries: charged to the retry budget and not sent.
     :param connect_seconds: time spent on connections that failed.
     :param prediction: of the latest attempt.
     :param peer: endpoint of the latest attempt, or of the one that answers.
@@ -43,6 +44,7 @@
     regions: AllowedRegions = None
     tried: set[AgentId] = field(default_factory=set)
     attempts: int = 0
+    unsent_retries: int = 0
     not_sent: int = 0
     connect_seconds: float = 0.0
     may_have_run: bool = False
@@ -59,6 +61,16 @@
         """What an endpoint runs for the request."""
         return Workload(self.content, self.request.segments)
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another endpoint could go on with the answer.
+
+        It can't where the caller has events of which none has an id.
+        """
+        return not (
+            self.stream.begun and self.stream.last_event is None and self.request.last_event is None
+        )
+
     @property
     def left(self) -> float:
         """Seconds for which the caller still waits."""
