--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -1526,6 +1526,93 @@
         f"{ROUTING_TESTS}/test_engine_memory.py"
         "::test_engine_whose_memory_would_be_exceeded_is_not_chosen",
     ),
+    Safeguard(
+        "requests behind an answer that closes their connection are answered",
+        f"{ADAPTER}/_caller_connections.py",
+        "return self._stays_open or (self.has_waiting_request and not self.ends_with_answer)",
+        "return self._stays_open",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestWaitingRequests::test_request_behind_a_rejected_body_is_refused_as_not_run",
+    ),
+    Safeguard(
+        "a stopping node announces no close while a request waits behind",
+        f"{ADAPTER}/_front.py",
+        "if self._is_stopping() and not waiting:",
+        "if self._is_stopping():",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestWaitingRequests::test_requests_behind_one_in_progress_at_the_stop_are_served",
+    ),
+    Safeguard(
+        "requests in progress at the end of the grace period get a final answer",
+        f"{ADAPTER}/_cutoff.py",
+        "limit.reschedule(now)",
+        "pass",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestCutoff::test_requests_without_an_answer_get_a_final_one",
+    ),
+    Safeguard(
+        "a request that an endpoint may be running is not promised as not run",
+        f"{ADAPTER}/_runner.py",
+        "sendings.count += 1",
+        "pass",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestCutoff::test_requests_without_an_answer_get_a_final_one",
+    ),
+    Safeguard(
+        "the end of an aborted answer without a length is a reset",
+        f"{ADAPTER}/_front.py",
+        "if self._unframed:",
+        "if False:",
+        f"{ADAPTER_TESTS}/test_stopping.py::TestCutoff::test_begun_streams_never_look_complete",
+    ),
+    Safeguard(
+        "a begun answer is aborted after an internal error",
+        f"{ADAPTER}/_front.py",
+        "if sink.response is not None and not sink.written and not sink.aborted:",
+        "if False:",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::test_internal_error_gives_a_final_answer_or_aborts_a_begun_one",
+    ),
+    Safeguard(
+        "a stop waits for answers that callers have not taken",
+        f"{ADAPTER}/_caller_connections.py",
+        "unsent = transport.get_write_buffer_size() > 0",
+        "unsent = False",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestCallers::test_answers_that_callers_have_not_taken_are_sent_before_the_exit",
+    ),
+    Safeguard(
+        "a stop does not wait for requests of lost connections",
+        f"{ADAPTER}/_caller_connections.py",
+        "if transport is None or transport.is_closing():",
+        "if transport is None:\n            return self.has_waiting_request\n        if False:",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::test_requests_of_a_caller_that_left_are_not_waited_for",
+    ),
+    Safeguard(
+        "a failed removal of the own entry does not end the drain",
+        f"{ADAPTER}/_entry.py",
+        "await asyncio.wait([unregistering], timeout=MAX_UNREGISTER_SECONDS)",
+        "await unregistering",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::test_failed_background_task_ends_the_node_behind_its_requests",
+    ),
+    Safeguard(
+        "the settings file is watched after an error",
+        f"{ADAPTER}/_serve.py",
+        "except Exception:",
+        "except ZeroDivisionError:",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestReload::test_file_is_watched_after_an_error_of_its_reader",
+    ),
+    Safeguard(
+        "extra responses of endpoints are skipped",
+        f"{ADAPTER}/_serve.py",
+        "response_class=EndpointResponse,",
+        "",
+        f"{ADAPTER_TESTS}/test_stopping.py"
+        "::TestExtraResponses::test_true_response_behind_extra_ones_is_passed_on",
+    ),
 )
 
 
