Test a silence during which the endpoint's entry expires

Three heartbeats without a write take the entry off the list; it comes back with the same incarnation, which is no restart.

Measured: test_failure_detector.py passes.

--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -279,6 +279,31 @@
     run_virtually(monkeypatch, act)
 
 
+def test_entry_that_expires_during_a_silence_shows_no_restart(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against counting an endpoint that is silent for three heartbeats as restarted.
+
+    Its entry expires and comes back with the same incarnation.
+    """
+
+    async def act() -> None:
+        harness = DetectorHarness(Liveness.UNREACHABLE)
+        await harness.lose_answers("a", silent=True)
+        await asyncio.sleep(2.0)
+        harness.endpoints.update([], trusted=True)
+        harness.detector.review()
+        await asyncio.sleep(0.9)
+        harness.liveness = Liveness.REACHABLE
+        harness.endpoints.update([ENDPOINT], trusted=True)
+        harness.detector.review()
+        await asyncio.sleep(MAX_SOUND_SILENCE_SECONDS + LATEST_PROBE_SECONDS)
+        harness.detector.review()
+        assert not harness.failures
+
+    run_virtually(monkeypatch, act)
+
+
 @pytest.mark.parametrize("liveness", [Liveness.REACHABLE, Liveness.UNREACHABLE])
 def test_silence_before_a_planned_end_is_no_failure(
     monkeypatch: pytest.MonkeyPatch, liveness: Liveness
