--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -1667,11 +1667,34 @@
     ),
     Safeguard(
         "the end of an aborted answer without a length is a reset",
-        f"{ADAPTER}/_front.py",
-        "if self._unframed:",
+        f"{ADAPTER}/_caller_connections.py",
+        "if self.is_unframed and connection is not None:",
         "if False:",
         f"{ADAPTER_TESTS}/test_stopping.py::TestCutoff::test_begun_streams_never_look_complete",
     ),
+    Safeguard(
+        "a stalled caller of an answer without a length sees a reset",
+        f"{ROUTING}/_caller_buffers.py",
+        "self.on_cut_off()",
+        "pass",
+        f"{ADAPTER_TESTS}/test_untaken_answers.py"
+        "::test_stalled_caller_that_is_cut_off_does_not_see_a_complete_answer",
+    ),
+    Safeguard(
+        "an answer without a length that the exit cuts off is reset",
+        f"{ADAPTER}/_front.py",
+        "each.reset_on_close()",
+        "pass",
+        f"{ADAPTER_TESTS}/test_untaken_answers.py"
+        "::test_untaken_answer_without_a_length_does_not_look_complete_at_the_exit",
+    ),
+    Safeguard(
+        "an answer that is being written is not ended by the cutoff",
+        f"{ADAPTER}/_cutoff.py",
+        "limit.reschedule(None)  # it may be due already, and not have ended the block yet",
+        "pass",
+        f"{ADAPTER_TESTS}/test_untaken_answers.py" "::test_lifted_limit_does_not_end_its_block",
+    ),
     Safeguard(
         "a begun answer is aborted after an internal error",
         f"{ADAPTER}/_front.py",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_caller_buffers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_caller_buffers.py
@@ -4,7 +4,7 @@
 import struct
 import termios
 from asyncio import WriteTransport
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Protocol
 
@@ -45,6 +45,7 @@
     :ivar blocking: whether the endpoint's answer is not read on until the caller takes more.
     :ivar counted: bytes of the answer that its request's own reservation counts already.
     :ivar cut_off: whether the caller was cut off because it took nothing.
+    :ivar on_cut_off: called before the connection is aborted for that.
     """
 
     def __init__(self, transport: WriteTransport, budget: MemoryBudget) -> None:
@@ -58,6 +59,7 @@
         self.blocking = False
         self.counted = 0
         self.cut_off = False
+        self.on_cut_off: Callable[[], None] = lambda: None
         _restore_limits(transport)
 
     def begin(self, writer: AnswerWriter, request_id: RequestId) -> None:
@@ -103,6 +105,7 @@
             record_incomplete(
                 self._request_id, IncompleteReason.CALLER_STALLED, f"{waiting} bytes not taken"
             )
+            self.on_cut_off()
             self._transport.abort()
             self.close()
             return False
