Take the head of a chain for a sign of its first engine only

It voided a silence of the later engines, which may not have done anything yet. The new test failed before: the second engine was recorded as heard at the head.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -557,9 +557,14 @@
         return await self._handle_reply(progress, attempts, attempt, result, sink)
 
     def _record_heard(self, attempt: AttemptProgress) -> None:
+        """Record that the endpoint sent something.
+
+        The first engine of a chain may send the head before the later ones have done anything.
+        """
         attempt.heard_at = read_clock()
         attempt.running.record_data()
-        for state in attempt.placed.states:
+        in_head = attempt.phase is Phase.HEAD
+        for state in (attempt.state,) if in_head else attempt.placed.states:
             self._endpoints.record_heard(state, attempt.heard_at)
             self._detector.record_heard(state)
 
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -1187,6 +1187,24 @@
         assert harness.sink.body == _events(0, 1, 2)
         assert len(harness.attempts) == 2
 
+    async def test_head_of_a_chain_shows_nothing_of_its_later_engines(self) -> None:
+        """Guards against taking a later engine for alive because the first one sent a head."""
+        harness = Harness(FakeReply([0.05, _events(0)], is_stream=True))
+        harness.set_spans({0: LayerSpan(0, 8), 1: LayerSpan(8, 16), 2: LayerSpan(0, 0)})
+        heard: list[tuple[AgentId, bool]] = []
+        record = harness.endpoints.record_heard
+
+        def record_heard(state: EndpointState, now: float) -> None:
+            heard.append((state.endpoint.agent_id, harness.sink.status == 0))
+            record(state, now)
+
+        harness.endpoints.record_heard = record_heard  # type: ignore[method-assign]
+        assert isinstance(await harness.send("fixed"), Done)
+        first, second = (each.state.endpoint.agent_id for each in harness.attempts[0].chain)
+        assert heard[0] == (first, True)
+        assert [each for each, _ in heard].count(first) == 2
+        assert [each for each, _ in heard].count(second) == 1
+
     async def test_failure_is_kept_until_a_retry_does_better(self) -> None:
         """Guards against replacing an endpoint's failure by one of this node's."""
         harness = Harness(
