Test bodies that stay away and more waiting requests than the library queues

A body that doesn't arrive gets a complete 408, and of 40 pipelined requests at SIGTERM each gets an answer; both hold without a change of the program.

--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -283,6 +283,48 @@
         await stop(entry)
         assert len(endpoint.received) == 1
 
+    async def test_more_requests_than_the_library_queues_are_all_answered(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a stop that drops requests which were read, or not yet parsed."""
+        entry = await start()
+        endpoint.work = 0.02
+        caller = await Caller.open(stack, entry)
+        for number in range(40):
+            caller.send("/once/x", f"r{number}")
+        await wait_until(lambda: endpoint.received)
+        entry.process.send_signal(signal.SIGTERM)
+        statuses = list_statuses(await caller.read_rest())
+        assert len(statuses) == 40
+        assert statuses.count(200) == len(endpoint.received)
+        assert set(statuses) <= {200, 503}
+
+    async def test_body_that_stays_away_gets_an_answer(
+        self,
+        stack: AsyncExitStack,
+        start: Start,
+        store: StandinStore,
+        endpoint: StandinEndpoint,
+    ) -> None:
+        """Guards against closing a connection on which a part of a request was read."""
+        entry = await start()
+        limits = {**CONFIGURATION["limits"], "idleTimeoutMs": 300}
+        store.put("op/config", {**CONFIGURATION, "version": 4, "routes": ROUTES, "limits": limits})
+        answer = b""
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while not answer:
+                caller = await Caller.open(stack, entry)
+                caller.writer.write(build_request("/once/x", "r0", body=b"b", length=9))
+                try:
+                    async with asyncio.timeout(3.0):
+                        answer = await caller.reader.readuntil(b"\r\n\r\n")
+                except TimeoutError:
+                    continue  # the limit has not reached the node yet
+        answer += await caller.read_rest()
+        assert answer.endswith(b"body not received in time")
+        assert list_statuses(answer) == [408]
+        assert not endpoint.received
+
     async def test_request_behind_a_rejected_body_is_refused_as_not_run(
         self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
     ) -> None:
