--- a/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_budget.py
@@ -52,6 +52,10 @@
         """Deposit the share of one request for a service."""
         self._account(service, now).tokens += self._ratio
 
+    def has_retry(self, service: ServiceName, now: float) -> bool:
+        """Return whether a retry is left."""
+        return self._account(service, now).tokens >= 1.0
+
     def withdraw(self, service: ServiceName, now: float) -> bool:
         """Withdraw one retry; return whether there was one left."""
         account = self._account(service, now)
@@ -59,3 +63,9 @@
             return False
         account.tokens -= 1.0
         return True
+
+    def refund(self, service: ServiceName) -> None:
+        """Return a retry that was withdrawn and not sent."""
+        account = self._accounts.get(service)
+        if account is not None:
+            account.tokens += 1.0
