--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -1706,7 +1706,7 @@
     Safeguard(
         "a stop waits for answers that callers have not taken",
         f"{ADAPTER}/_caller_connections.py",
-        "return transport.get_write_buffer_size() > 0",
+        "return transport is not None and transport.get_write_buffer_size() > 0",
         "return False",
         f"{ADAPTER_TESTS}/test_stopping.py"
         "::TestCallers::test_answers_that_callers_have_not_taken_are_sent_before_the_exit",
@@ -1714,8 +1714,8 @@
     Safeguard(
         "a stop does not wait for requests of lost connections",
         f"{ADAPTER}/_caller_connections.py",
-        "return False\n        return self.has_untaken_answer",
-        "return self.has_waiting_request\n        return self.has_untaken_answer",
+        "return False\n        return self._request_in_progress",
+        "return self.has_waiting_request\n        return self._request_in_progress",
         f"{ADAPTER_TESTS}/test_stopping.py"
         "::test_requests_of_a_caller_that_left_are_not_waited_for",
     ),
