--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
@@ -158,7 +158,7 @@
         """Send an answer from ``offset``, as it comes."""
         if run.state is RunState.NOT_RUN:
             return self._refuse(run.reason or "not-run")
-        if run.state is RunState.UNKNOWN and not run.body:
+        if run.state is RunState.UNKNOWN and offset >= len(run.body):
             headers = {Header.OUTCOME: RunState.UNKNOWN.value}
             return web.Response(status=502, text=run.reason, headers=headers)
         response = web.StreamResponse(status=run.status, headers=self._head(run))
