Ask for a broken answer until the deadline while its agent may still have it

One reset and a silence of more than two seconds lost an answer that the agent kept. Each try now waits longer than the one before; what the agent says it has not ends the asking at once.

--- a/packages/wrenloft/src/wrenloft/agents/_client.py
+++ b/packages/wrenloft/src/wrenloft/agents/_client.py
@@ -17,7 +17,7 @@
 from wrenloft_core import AgentId, Header, RequestId
 
 _WITNESS_SECONDS = 2.0
-_RESUMES = 3
+_RESUME_SECONDS = 6.0
 _RESUME_PAUSE = 0.1
 
 
@@ -156,14 +156,18 @@
         except (ClientError, TimeoutError):
             pass  # the agent cancels by itself a run that nobody comes back for
 
-    async def read(self, answer: Answer) -> AsyncIterator[bytes]:
+    async def read(self, answer: Answer, deadline: float) -> AsyncIterator[bytes]:
         """Yield the body as it comes, resuming the same run if the connection breaks.
 
+        :param deadline: until when a broken answer is asked for again, in seconds on the
+            monotonic clock; one that breaks off later is asked for a few seconds all the same.
         :raises ClientError: if the rest can't be had.
         """
-        received = 0
+        loop = asyncio.get_running_loop()
+        received = resumed_at = 0
         response = answer.response
-        for attempt in range(_RESUMES + 1):
+        until = 0.0
+        while True:
             try:
                 async for piece in response.content.iter_any():
                     received += len(piece)
@@ -171,15 +175,33 @@
                 return
             except ClientError:
                 response.close()
-                if attempt == _RESUMES:
+                if not until or received > resumed_at:
+                    until = max(deadline, loop.time() + _RESUME_SECONDS)
+                elif loop.time() >= until:
                     raise
-            await asyncio.sleep(_RESUME_PAUSE * attempt)
+                else:
+                    await asyncio.sleep(_RESUME_PAUSE)
+            resumed_at = received
+            response = await self._resume(answer, received, until)
+
+    async def _resume(self, answer: Answer, offset: int, until: float) -> ClientResponse:
+        """Ask for the rest of an answer while the agent may still have it.
+
+        Each try is given longer than the one before, so an agent that is slow to reply each time
+        is heard in the end.
+        """
+        loop = asyncio.get_running_loop()
+        patience = _WITNESS_SECONDS
+        while True:
             again = await self.follow(
-                answer.agent_id, answer.address, answer.request_id, received, _WITNESS_SECONDS
+                answer.agent_id, answer.address, answer.request_id, offset, patience
             )
-            if not isinstance(again, Answer):
+            if isinstance(again, Answer):
+                return again.response
+            if again is not Fate.UNREACHABLE or loop.time() >= until:
                 raise ClientError(f"answer broken off: {again}")
-            response = again.response
+            await asyncio.sleep(_RESUME_PAUSE)
+            patience = min(2 * patience, max(_WITNESS_SECONDS, until - loop.time()))
 
     @staticmethod
     def _read_head(
--- a/packages/wrenloft/src/wrenloft/callers/_keyed.py
+++ b/packages/wrenloft/src/wrenloft/callers/_keyed.py
@@ -183,7 +183,7 @@
         body = bytearray()
         outbox.begin(describe_head(answer, attempts))
         try:
-            async for piece in self._client.read(answer):
+            async for piece in self._client.read(answer, request.deadline):
                 if len(body) <= limit:
                     body += piece
                 await outbox.put(piece)
--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -121,7 +121,7 @@
                 if not isinstance(settled, Answer):
                     return settled
                 result = settled
-            return await self._pass_on(result, attempts, outbox)
+            return await self._pass_on(request, result, attempts, outbox)
         except asyncio.CancelledError:
             if request.idempotent:
                 await asyncio.shield(self._client.cancel(entry.record.http_address, attempt_id))
@@ -152,11 +152,11 @@
         return Unknown("send", f"{reason}; agent says {fate.value}", entry.agent_id)
 
     async def _pass_on(
-        self, answer: Answer, attempts: int, outbox: Outbox
+        self, request: CallerRequest, answer: Answer, attempts: int, outbox: Outbox
     ) -> NotRun | Unknown | None:
         passed = False
         try:
-            async for piece in self._client.read(answer):
+            async for piece in self._client.read(answer, request.deadline):
                 if not passed:
                     outbox.begin(describe_head(answer, attempts))
                     passed = True
