Ask again for the answer of a run that started until the request's deadline

One reset while the answer was asked for made the run unknown. A request that may be repeated goes elsewhere when its agent stays away for four seconds; others wait for as long as they may.

--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -19,6 +19,8 @@
 _LOG = logging.getLogger(__name__)
 _MAX_ATTEMPTS = 4
 _RETRY_AFTER = 1.0
+_AWAY_SECONDS = 4.0
+_ASK_PAUSE = 0.1
 
 _ATTEMPTS = Counter("wrenloft_attempts", "Attempts sent to agents", ["priority"])
 
@@ -145,12 +147,38 @@
         if fate is Fate.NOT_RUN:
             return NotRun("send", reason, entry.agent_id, retry_after=_RETRY_AFTER)
         if fate in (Fate.STARTED, Fate.DONE):
-            seconds = max(1.0, request.deadline - asyncio.get_running_loop().time())
-            answer = await self._client.follow(entry.agent_id, address, attempt_id, 0, seconds)
+            answer = await self._ask_for_answer(request, entry, attempt_id)
             if isinstance(answer, Answer):
                 return answer
         return Unknown("send", f"{reason}; agent says {fate.value}", entry.agent_id)
 
+    async def _ask_for_answer(
+        self, request: CallerRequest, entry: AgentEntry, attempt_id: RequestId
+    ) -> Answer | Refused | Broken | Fate:
+        """Ask for the answer of a run that started, again while the agent does not reply.
+
+        A request that may be sent elsewhere is not held back for the whole time by an agent that
+        stays away.
+        """
+        loop = asyncio.get_running_loop()
+        elsewhere = request.idempotent and not request.key
+        until = 0.0
+        while True:
+            seconds = max(1.0, request.deadline - loop.time())
+            answer = await self._client.follow(
+                entry.agent_id, entry.record.http_address, attempt_id, 0, seconds
+            )
+            if answer is not Fate.UNREACHABLE:
+                return answer
+            now = loop.time()
+            if not until:
+                until = (
+                    min(request.deadline, now + _AWAY_SECONDS) if elsewhere else request.deadline
+                )
+            if now >= until:
+                return answer
+            await asyncio.sleep(_ASK_PAUSE)
+
     async def _pass_on(
         self, request: CallerRequest, answer: Answer, attempts: int, outbox: Outbox
     ) -> NotRun | Unknown | None:
--- a/packages/wrenloft/tests/test_runs.py
+++ b/packages/wrenloft/tests/test_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 from random import Random
 from typing import Any, cast
 
@@ -16,12 +17,14 @@
 from wrenloft.platform import ConfigurationStore, KeyValueClient
 
 from wrenloft_core import (
+    AgentId,
     KeyGrant,
     ModelName,
     NotRun,
     Organisation,
     OrganisationName,
     Priority,
+    RequestId,
     Unknown,
     make_request_id,
 )
@@ -146,3 +149,81 @@
         outcome, sends = await _run(sent, Fate.NOT_RUN, idempotent=False, runners=2)
         assert isinstance(outcome, NotRun)
         assert sends == 2
+
+
+class _Agent:
+    """A client whose agent is reset some times before it gives the answer of a run."""
+
+    def __init__(self, resets: int, fates: Sequence[Fate] = (), last: Any = None) -> None:
+        self.answer = Answer(cast(Any, None), AgentId("agent-0"), "x", RequestId("r"))
+        self._resets = resets
+        self._fates = list(fates)
+        self._last = last or self.answer
+        self.follows = 0
+
+    async def bury(self, *_: object) -> Fate:
+        """Return the next scripted fate; the run has started in the end."""
+        return self._fates.pop(0) if self._fates else Fate.STARTED
+
+    async def follow(self, *_: object) -> Any:
+        """Return the answer once the resets are over."""
+        self.follows += 1
+        return Fate.UNREACHABLE if self.follows <= self._resets else self._last
+
+
+async def _settle(agent: _Agent, request: CallerRequest) -> Answer | NotRun | Unknown:
+    async with ClientSession() as session:
+        store = ConfigurationStore(KeyValueClient(session, ["unused"]))
+        router = _Router(1)
+        sender = Sender(cast(Router, router), cast(AgentClient, agent), store, Random(1))
+        entry = await router.acquire(request, frozenset())
+        return await sender.settle_fate(request, entry, RequestId("r"), Broken("reset"))
+
+
+class TestSettleFate:
+    """Tests for ``Sender.settle_fate``."""
+
+    @pytest.mark.parametrize("idempotent", [False, True])
+    async def test_asks_again_for_the_answer_of_a_run_that_started(self, idempotent: bool) -> None:
+        """Guards against calling a run unknown because of a reset while its answer is asked for."""
+        agent = _Agent(resets=5)
+        assert await _settle(agent, _build_request(idempotent=idempotent)) is agent.answer
+
+    async def test_gives_up_at_the_deadline(self) -> None:
+        """Guards against asking without end for the answer of an agent that stays away."""
+        agent = _Agent(resets=1_000_000)
+        request = replace(
+            _build_request(idempotent=False), deadline=asyncio.get_running_loop().time() + 0.5
+        )
+        async with asyncio.timeout(20):
+            assert isinstance(await _settle(agent, request), Unknown)
+        assert agent.follows > 1
+
+    async def test_lets_a_repeatable_request_go_elsewhere(self) -> None:
+        """Guards against holding a repeatable request at an agent that stays away."""
+        agent = _Agent(resets=1_000_000)
+        request = replace(
+            _build_request(idempotent=True), deadline=asyncio.get_running_loop().time() + 1000
+        )
+        async with asyncio.timeout(100):
+            assert isinstance(await _settle(agent, request), Unknown)
+
+    @pytest.mark.parametrize("last", [Fate.GONE, Fate.NOT_RUN, Broken("outcome unknown")])
+    async def test_ends_when_the_agent_has_no_answer(self, last: Fate | Broken) -> None:
+        """Guards against asking on for an answer that the agent has not or took with it."""
+        agent = _Agent(resets=1, last=last)
+        assert isinstance(await _settle(agent, _build_request(idempotent=False)), Unknown)
+        assert agent.follows == 2
+
+    async def test_ends_when_the_caller_leaves(self) -> None:
+        """Guards against asking on for an answer that nobody waits for."""
+        agent = _Agent(resets=1_000_000)
+        settling = asyncio.create_task(_settle(agent, _build_request(idempotent=False)))
+        while agent.follows < 2 and not settling.done():
+            await asyncio.sleep(0.01)
+        settling.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await settling
+        seen = agent.follows
+        await asyncio.sleep(0.5)
+        assert agent.follows == seen
