--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -142,8 +142,7 @@
         guess. The agent either has the answer, or makes sure that the request never starts.
         """
         reason = failure.reason if isinstance(failure, Broken) else "seen before"
-        address = entry.record.http_address
-        fate = await self._client.bury(entry.agent_id, address, attempt_id)
+        fate = await self._ask_for_fate(request, entry, attempt_id)
         if fate is Fate.NOT_RUN:
             return NotRun("send", reason, entry.agent_id, retry_after=_RETRY_AFTER)
         if fate in (Fate.STARTED, Fate.DONE):
@@ -152,6 +151,22 @@
                 return answer
         return Unknown("send", f"{reason}; agent says {fate.value}", entry.agent_id)
 
+    async def _ask_for_fate(
+        self, request: CallerRequest, entry: AgentEntry, attempt_id: RequestId
+    ) -> Fate:
+        """Ask whether an attempt started, again while the agent does not reply.
+
+        Only what may not be sent elsewhere depends on the reply.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            fate = await self._client.bury(entry.agent_id, entry.record.http_address, attempt_id)
+            if fate is not Fate.UNREACHABLE or _may_go_elsewhere(request):
+                return fate
+            if loop.time() >= request.deadline:
+                return fate
+            await asyncio.sleep(_ASK_PAUSE)
+
     async def _ask_for_answer(
         self, request: CallerRequest, entry: AgentEntry, attempt_id: RequestId
     ) -> Answer | Refused | Broken | Fate:
@@ -161,7 +176,7 @@
         stays away.
         """
         loop = asyncio.get_running_loop()
-        elsewhere = request.idempotent and not request.key
+        elsewhere = _may_go_elsewhere(request)
         until = 0.0
         while True:
             seconds = max(1.0, request.deadline - loop.time())
@@ -235,5 +250,10 @@
     )
 
 
+def _may_go_elsewhere(request: CallerRequest) -> bool:
+    """Tell whether an attempt of unknown fate may be followed by another one."""
+    return request.idempotent and not request.key
+
+
 def _is_unreached(result: Answer | Refused | Seen | Broken) -> bool:
     return isinstance(result, Refused) and result.reason.startswith("never sent")
--- a/packages/wrenloft/tests/test_runs.py
+++ b/packages/wrenloft/tests/test_runs.py
@@ -189,6 +189,16 @@
         agent = _Agent(resets=5)
         assert await _settle(agent, _build_request(idempotent=idempotent)) is agent.answer
 
+    @pytest.mark.parametrize("fate", [Fate.STARTED, Fate.NOT_RUN])
+    async def test_asks_again_what_became_of_a_request(self, fate: Fate) -> None:
+        """Guards against calling a request unknown because its agent is silent for a moment."""
+        agent = _Agent(resets=0, fates=[*[Fate.UNREACHABLE] * 3, fate])
+        settled = await _settle(agent, _build_request(idempotent=False))
+        if fate is Fate.STARTED:
+            assert settled is agent.answer
+        else:
+            assert isinstance(settled, NotRun)
+
     async def test_gives_up_at_the_deadline(self) -> None:
         """Guards against asking without end for the answer of an agent that stays away."""
         agent = _Agent(resets=1_000_000)
