--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
@@ -16,7 +16,8 @@
 _LOG = logging.getLogger(__name__)
 
 _COALESCE_SECONDS = 0.01
-_ORPHAN_SECONDS = 2.0
+# Longer than a sound host may be silent (3 s), with time to connect again.
+_ORPHAN_SECONDS = 6.0
 _EVENT_STREAM = "text/event-stream"
 
 _REFUSED = Counter("wrenloft_agent_refused_requests", "Requests refused as not run", ["reason"])
--- a/packages/wrenloft-agent/tests/test_requests.py
+++ b/packages/wrenloft-agent/tests/test_requests.py
@@ -1,5 +1,6 @@
 """Tests of the routes by which entry nodes ask what became of a request."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -15,6 +16,10 @@
 _ID = RequestId("request.1")
 
 
+async def _run_on() -> None:
+    await asyncio.Event().wait()
+
+
 @asynccontextmanager
 async def _open_agent() -> AsyncIterator[tuple[ClientSession, str, Run]]:
     """Serve the routes of an agent on which one idempotent run has given five bytes."""
@@ -53,3 +58,37 @@
             async with session.get(url, params={"offset": 5}) as response:
                 assert response.status == 502
                 assert response.headers[Header.OUTCOME] == "unknown"
+
+    async def test_keeps_a_run_whose_node_is_silent_for_a_moment(self) -> None:
+        """Guards against cancelling a run before a node that was silent can come back for it."""
+        async with _open_agent() as (session, url, run):
+            run.task = asyncio.create_task(_run_on())
+            async with session.get(url) as response:
+                assert await response.content.readexactly(5) == b"01234"
+                response.close()
+            while run.readers:
+                run.add(b".")
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(3.5)
+            assert not run.task.cancelling()
+            run.end(RunState.DONE)
+            async with session.get(url) as response:
+                assert await response.read() == run.body
+            run.task.cancel()
+
+    async def test_cancels_a_run_that_no_node_comes_back_for(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against running on for nobody when a node ends without a word."""
+        monkeypatch.setattr("wrenloft_agent.nodes._requests._ORPHAN_SECONDS", 0.1)
+        async with _open_agent() as (session, url, run):
+            run.task = asyncio.create_task(_run_on())
+            async with session.get(url) as response:
+                await response.content.readexactly(5)
+                response.close()
+            while run.readers:
+                run.add(b".")
+                await asyncio.sleep(0.01)
+            async with asyncio.timeout(20):
+                await asyncio.wait([run.task])
+            assert run.task.cancelled()
