Give back a runner whose request stops waiting as its turn comes

At the deadline the turn was dropped, and a leaving request's turn was chosen and not given: in both cases the node counted the runner as taken for good.

--- a/packages/wrenloft/src/wrenloft/callers/_router.py
+++ b/packages/wrenloft/src/wrenloft/callers/_router.py
@@ -288,27 +288,33 @@
             async with asyncio.timeout(request.deadline - now):
                 return await turn
         except TimeoutError:
+            self._release_turn(request, turn)
             return self._refuse("queue", "deadline reached while waiting", expected)
         except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
-                self.release(request, turn.result(), None)
+            self._release_turn(request, turn)
             raise
         finally:
             line.queue.remove(ticket)
             del line.turns[ticket], line.requests[ticket]
             _QUEUED.labels(request.target).set(len(line.queue))
 
+    def _release_turn(self, request: CallerRequest, turn: asyncio.Future[AgentEntry]) -> None:
+        """Give back a runner that came in the moment in which its request stopped waiting."""
+        if turn.done() and not turn.cancelled():
+            self.release(request, turn.result(), None)
+
     async def _pump(self, line: _Line) -> None:
         """Hand runners to waiting requests as they come free, while any wait."""
         while len(line.queue):
             line.freed.clear()
             while ticket := line.queue.pop():
+                if line.turns[ticket].done():
+                    continue
                 entry = self._try(line.requests[ticket])
                 if entry is None:
                     line.queue.push_back(ticket)
                     break
-                if not line.turns[ticket].done():
-                    line.turns[ticket].set_result(entry)
+                line.turns[ticket].set_result(entry)
             try:
                 async with asyncio.timeout(_PUMP_SECONDS):
                     await line.freed.wait()
