--- a/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/nodes/_requests.py
@@ -16,7 +16,8 @@
 _LOG = logging.getLogger(__name__)
 
 _COALESCE_SECONDS = 0.01
-_ORPHAN_SECONDS = 2.0
+# Longer than a sound host may be silent (3 s), with time to connect again.
+_ORPHAN_SECONDS = 6.0
 _EVENT_STREAM = "text/event-stream"
 
 _REFUSED = Counter("wrenloft_agent_refused_requests", "Requests refused as not run", ["reason"])
@@ -158,7 +159,7 @@
         """Send an answer from ``offset``, as it comes."""
         if run.state is RunState.NOT_RUN:
             return self._refuse(run.reason or "not-run")
-        if run.state is RunState.UNKNOWN and not run.body:
+        if run.state is RunState.UNKNOWN and offset >= len(run.body):
             headers = {Header.OUTCOME: RunState.UNKNOWN.value}
             return web.Response(status=502, text=run.reason, headers=headers)
         response = web.StreamResponse(status=run.status, headers=self._head(run))
--- a/packages/wrenloft/src/wrenloft/callers/_runs.py
+++ b/packages/wrenloft/src/wrenloft/callers/_runs.py
@@ -19,6 +19,8 @@
 _LOG = logging.getLogger(__name__)
 _MAX_ATTEMPTS = 4
 _RETRY_AFTER = 1.0
+_AWAY_SECONDS = 4.0
+_ASK_PAUSE = 0.1
 
 _ATTEMPTS = Counter("wrenloft_attempts", "Attempts sent to agents", ["priority"])
 
@@ -121,7 +123,7 @@
                 if not isinstance(settled, Answer):
                     return settled
                 result = settled
-            return await self._pass_on(result, attempts, outbox)
+            return await self._pass_on(request, result, attempts, outbox)
         except asyncio.CancelledError:
             if request.idempotent:
                 await asyncio.shield(self._client.cancel(entry.record.http_address, attempt_id))
@@ -140,23 +142,64 @@
         guess. The agent either has the answer, or makes sure that the request never starts.
         """
         reason = failure.reason if isinstance(failure, Broken) else "seen before"
-        address = entry.record.http_address
-        fate = await self._client.bury(entry.agent_id, address, attempt_id)
+        fate = await self._ask_for_fate(request, entry, attempt_id)
         if fate is Fate.NOT_RUN:
             return NotRun("send", reason, entry.agent_id, retry_after=_RETRY_AFTER)
         if fate in (Fate.STARTED, Fate.DONE):
-            seconds = max(1.0, request.deadline - asyncio.get_running_loop().time())
-            answer = await self._client.follow(entry.agent_id, address, attempt_id, 0, seconds)
+            answer = await self._ask_for_answer(request, entry, attempt_id)
             if isinstance(answer, Answer):
                 return answer
         return Unknown("send", f"{reason}; agent says {fate.value}", entry.agent_id)
 
+    async def _ask_for_fate(
+        self, request: CallerRequest, entry: AgentEntry, attempt_id: RequestId
+    ) -> Fate:
+        """Ask whether an attempt started, again while the agent does not reply.
+
+        Only what may not be sent elsewhere depends on the reply.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            fate = await self._client.bury(entry.agent_id, entry.record.http_address, attempt_id)
+            if fate is not Fate.UNREACHABLE or _may_go_elsewhere(request):
+                return fate
+            if loop.time() >= request.deadline:
+                return fate
+            await asyncio.sleep(_ASK_PAUSE)
+
+    async def _ask_for_answer(
+        self, request: CallerRequest, entry: AgentEntry, attempt_id: RequestId
+    ) -> Answer | Refused | Broken | Fate:
+        """Ask for the answer of a run that started, again while the agent does not reply.
+
+        A request that may be sent elsewhere is not held back for the whole time by an agent that
+        stays away.
+        """
+        loop = asyncio.get_running_loop()
+        elsewhere = _may_go_elsewhere(request)
+        until = 0.0
+        while True:
+            seconds = max(1.0, request.deadline - loop.time())
+            answer = await self._client.follow(
+                entry.agent_id, entry.record.http_address, attempt_id, 0, seconds
+            )
+            if answer is not Fate.UNREACHABLE:
+                return answer
+            now = loop.time()
+            if not until:
+                until = (
+                    min(request.deadline, now + _AWAY_SECONDS) if elsewhere else request.deadline
+                )
+            if now >= until:
+                return answer
+            await asyncio.sleep(_ASK_PAUSE)
+
     async def _pass_on(
-        self, answer: Answer, attempts: int, outbox: Outbox
+        self, request: CallerRequest, answer: Answer, attempts: int, outbox: Outbox
     ) -> NotRun | Unknown | None:
         passed = False
         try:
-            async for piece in self._client.read(answer):
+            async for piece in self._client.read(answer, request.deadline):
                 if not passed:
                     outbox.begin(describe_head(answer, attempts))
                     passed = True
@@ -207,5 +250,10 @@
     )
 
 
+def _may_go_elsewhere(request: CallerRequest) -> bool:
+    """Tell whether an attempt of unknown fate may be followed by another one."""
+    return request.idempotent and not request.key
+
+
 def _is_unreached(result: Answer | Refused | Seen | Broken) -> bool:
     return isinstance(result, Refused) and result.reason.startswith("never sent")
