--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -154,7 +154,7 @@
     Safeguard(
         "a segment at more crashes outweighs common ones",
         f"{POLICY}/_segment_crashes.py",
-        "if suspect.crashes <= others and len(others) > len(presence):",
+        "if outweighs and _find_meanwhile(others, crashes) <= others:",
         "if False:",
         f"{ROUTING_TESTS}/test_segment_fleet.py"
         "::test_segment_that_was_sound_before_is_quarantined[15.0-0]",
