--- a/packages/wrenloft/src/wrenloft/callers/_keyed.py
+++ b/packages/wrenloft/src/wrenloft/callers/_keyed.py
@@ -228,10 +228,11 @@
     async def _follow(
         self, request: CallerRequest, entry: AgentEntry, attempt_id: RequestId
     ) -> Answer | Refused | Broken | Fate:
-        """Follow an attempt; one that has not arrived after a while is made never to start.
+        """Follow an attempt, again until the deadline while its agent does not reply.
 
-        The node that was granted it may have died or may be paused before sending it. If it
-        wakes later, the agent refuses the copy.
+        One that has not arrived after a while is made never to start. The node that was granted
+        it may have died or may be paused before sending it. If it wakes later, the agent refuses
+        the copy.
         """
         loop = asyncio.get_running_loop()
         address = entry.record.http_address
@@ -239,12 +240,16 @@
         while True:
             seconds = max(1.0, request.deadline - loop.time())
             result = await self._client.follow(entry.agent_id, address, attempt_id, 0, seconds)
-            if result is not Fate.NOT_RUN:
-                return result
-            if loop.time() >= patience:
+            silent = result is Fate.UNREACHABLE
+            if result is Fate.NOT_RUN and loop.time() >= patience:
                 fate = await self._client.bury(entry.agent_id, address, attempt_id)
-                if fate not in (Fate.STARTED, Fate.DONE):
+                silent = fate is Fate.UNREACHABLE
+                if not silent and fate not in (Fate.STARTED, Fate.DONE):
                     return fate
+            elif not silent and result is not Fate.NOT_RUN:
+                return result
+            if silent and loop.time() >= request.deadline:
+                return Fate.UNREACHABLE
             await asyncio.sleep(_START_PAUSE)
 
     async def _give_up(
--- a/packages/wrenloft/tests/test_runs.py
+++ b/packages/wrenloft/tests/test_runs.py
@@ -8,12 +8,13 @@
 
 import pytest
 from aiohttp import ClientSession
-from wrenloft._view import AgentEntry
+from wrenloft._view import AgentEntry, View
 from wrenloft.agents import AgentClient, Answer, Broken, Fate, Refused, Seen
-from wrenloft.callers import Router, Sender
+from wrenloft.callers import KeyedRuns, Router, Sender
 from wrenloft.callers._authentication import Caller
 from wrenloft.callers._outbox import Head, Outbox
 from wrenloft.callers._requests import CallerRequest
+from wrenloft.nodes import OwnerClaims
 from wrenloft.platform import ConfigurationStore, KeyValueClient
 
 from wrenloft_core import (
@@ -237,3 +238,45 @@
         seen = agent.follows
         await asyncio.sleep(0.5)
         assert agent.follows == seen
+
+
+class _Claims:
+    """An owner that knows of an attempt in progress at the first agent."""
+
+    async def claim(self, _: messages.ClaimRequest) -> messages.ClaimReply:
+        """Name the attempt."""
+        return messages.ClaimReply(
+            verdict=messages.CLAIM_IN_FLIGHT, request_id="r", agent_id="agent-0"
+        )
+
+    async def settle(self, _: messages.SettleRequest) -> bool:
+        """Keep any answer."""
+        return True
+
+
+class TestJoin:
+    """Tests for ``KeyedRuns.run`` when another request with the key is in progress."""
+
+    @pytest.mark.parametrize("seconds", [100.0, 0.5])
+    async def test_asks_again_until_the_deadline(self, seconds: float) -> None:
+        """Guards against giving up another request's answer because of a reset."""
+        agent = _Agent(resets=3 if seconds > 1 else 1_000_000, last=Broken("outcome unknown"))
+        request = replace(
+            _build_request(idempotent=False),
+            key="k",
+            deadline=asyncio.get_running_loop().time() + seconds,
+        )
+        view = View(100.0, 100.0)
+        view.merge_record(messages.AgentRecord(agent_id="agent-0", sequence=1), 0.0)
+        async with ClientSession() as session:
+            store = ConfigurationStore(KeyValueClient(session, ["unused"]))
+            router, client = cast(Router, _Router(1)), cast(AgentClient, agent)
+            sender = Sender(router, client, store, Random(1))
+            claims = cast(OwnerClaims, _Claims())
+            keyed = KeyedRuns(router, sender, client, claims, view, store, Random(1))
+            outbox = Outbox()
+            async with asyncio.timeout(50):
+                await keyed.run(request, outbox)
+            await keyed.finish()
+        assert isinstance(outbox.head.result(), Unknown)
+        assert agent.follows == 4 if seconds > 1 else agent.follows > 1
