Count an answer as given in the soak once its link has passed it on

The promise covers only what could end within the grace.

Change: the end of an answer is when holds that cover it are over; pauses don't count, as written bytes pass them. Later bounds of a stop stay as they were.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -188,14 +188,22 @@
             and late <= exchange.ended_at
             and exchange.sent_at <= signalled_at + LATE_SEND_SECONDS
             and bool(runs)
-            and not any(0 < each.ended_at < late for each in runs)
+            and not any(0 < self._find_delivery(each) < late for each in runs)
         )
 
+    def _find_delivery(self, run: Run) -> float:
+        """Return when the link passed the end of an answer on, 0 if the run did not end."""
+        at = run.ended_at
+        for each in sorted(self.silences):
+            if each.held and each.endpoint == run.endpoint and each.start <= at < each.end:
+                at = each.end
+        return at
+
     def _check_left(self, exchange: Exchange, runs: list[Run], course: str) -> Found:
         """Check that endpoints learned soon that the caller had left, or once they ran again."""
         for run in runs:
             limit = exchange.ended_at + LEFT_SECONDS
-            for start, end, endpoint in sorted(self.silences):
+            for start, end, endpoint, _ in sorted(self.silences):
                 if endpoint == run.endpoint and start <= limit and end > exchange.ended_at:
                     limit = max(limit, end + LEFT_SECONDS)
             end = run.gone_at or run.ended_at
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -92,11 +92,12 @@
 
 
 class Silence(NamedTuple):
-    """A period in which an endpoint or its link passed nothing on."""
+    """A period in which an endpoint was paused, or its link held bytes back."""
 
     start: float
     end: float
     endpoint: str
+    held: bool
 
 
 @dataclass
@@ -222,7 +223,7 @@
                 each.pauses -= 1
                 if not each.pauses:
                     each.process.send_signal(signal.SIGCONT)
-                self.silences.append(Silence(start, time.monotonic(), each.name))
+                self.silences.append(Silence(start, time.monotonic(), each.name, held=False))
             await asyncio.sleep(self.random.uniform(0.05, 0.5))
 
     async def _hold(self) -> None:
@@ -232,7 +233,7 @@
         for each in self._draw_endpoints():
             for way in ways:
                 each.link.hold(way, seconds)
-            self.silences.append(Silence(start, start + seconds, each.name))
+            self.silences.append(Silence(start, start + seconds, each.name, held=True))
 
     async def _change(self) -> None:
         """Write new versions of the configuration, one or several in a row."""
