--- a/tests/platform/test_untaken_answers.py
+++ b/tests/platform/test_untaken_answers.py
@@ -1,4 +1,4 @@
-"""Tests of answers whose callers do not take them in time."""
+"""Tests of answers that callers do not take in time, and of the exit."""
 
 import asyncio
 import signal
@@ -8,6 +8,7 @@
 import pytest
 
 from wrenloft_platform._cutoff import Cutoff
+from wrenloft_platform._serve import close_together
 
 from .bounded_node import ImpatientEndpoint, SlowCaller, make_event, wait_until
 from .conftest import full_response, stream_response
@@ -112,3 +113,13 @@
     received = len(await caller.read_rest())
     log = await stop(entry)
     assert received > len(body), (received, list_incomplete(log))
+
+
+async def test_listeners_are_closed_at_the_same_time() -> None:
+    """Guards against a node that outlives its grace because it closes them one after the other."""
+    barrier = asyncio.Barrier(3)
+    stacks = [AsyncExitStack() for _ in range(3)]
+    for each in stacks:
+        each.push_async_callback(barrier.wait)
+    async with asyncio.timeout(20):
+        await close_together(stacks)
