Write the last log lines at once when a process ends

A process that stopped waited at its exit for the interval of log writes, up to 0.25 s. Flushing ends the interval now.

The new test fails without the change, after its timeout of 30 s.

--- a/packages/wrenloft-core/src/wrenloft_core/_logs.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_logs.py
@@ -73,6 +73,7 @@
         self._unreported_drops = 0
         self.dropped = 0
         self._wake = threading.Event()
+        self._flushing = threading.Event()
         self._writing = False
         threading.Thread(target=self._write, name="logs", daemon=True).start()
 
@@ -95,10 +96,12 @@
 
         Without the timeout, a reader that has stopped would keep the process from ever exiting.
         """
+        self._flushing.set()  # a process that stops has less time left than the interval of writes
         self._wake.set()
         deadline = time.monotonic() + FLUSH_TIMEOUT_SECONDS
         while (self._lines or self._writing) and time.monotonic() < deadline:
             time.sleep(_FLUSH_POLL_SECONDS)
+        self._flushing.clear()
 
     def _write_lines(self) -> None:
         self._writing = True
@@ -124,7 +127,7 @@
     def _write(self) -> None:
         while True:
             self._wake.wait()
-            time.sleep(_WRITE_INTERVAL_SECONDS)
+            self._flushing.wait(_WRITE_INTERVAL_SECONDS)
             self._wake.clear()
             try:
                 self._write_lines()
--- a/packages/wrenloft-core/tests/test_logs.py
+++ b/packages/wrenloft-core/tests/test_logs.py
@@ -56,6 +56,18 @@
             process.kill()
             process.communicate()
 
+    def test_flush_does_not_wait_for_the_interval_of_writes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a process that outlives its grace because its last lines wait."""
+        monkeypatch.setattr("wrenloft_core._logs._WRITE_INTERVAL_SECONDS", 1000.0)
+        monkeypatch.setattr("wrenloft_core._logs.FLUSH_TIMEOUT_SECONDS", 30.0)
+        written: list[bytes] = []
+        handler = BoundedHandler(written.append)
+        _logger(handler).info("stopped")
+        handler.flush()
+        assert written == [b"stopped\n"]
+
     def test_excess_lines_are_dropped_and_counted(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Lines beyond the rate limit are dropped, and their number is logged."""
         now = [100.0]
