--- a/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
@@ -20,7 +20,7 @@
 from wrenloft_routing._loads import InProgress
 from wrenloft_routing._streams import EventReader, StreamEnd
 
-SECOND_RETRY_SECONDS = 0.25
+HEDGE_REVIEW_SECONDS = 0.25
 """Interval at which a hedge of a silent attempt is reconsidered: retries become available again,
 and endpoints that were full get room."""
 
@@ -132,7 +132,7 @@
     @property
     def next_review_at(self) -> float:
         """When a hedge is next considered, unless part of the answer arrives."""
-        return max(self.heard_at + self.patience, self.reviewed_at + SECOND_RETRY_SECONDS)
+        return max(self.heard_at + self.patience, self.reviewed_at + HEDGE_REVIEW_SECONDS)
 
     def cancel(self, reason: Lost) -> None:
         """End an attempt whose answer has not begun."""
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -89,13 +89,9 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request left this host.
-
-    :param silent: whether the endpoint did not respond to the connection attempt.
-    """
+    """No byte of the request left this host."""
 
     reason: str
-    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -352,7 +352,7 @@
     def _start_attempt(
         self, progress: RequestProgress, placed: Placed, attempts: OpenAttempts
     ) -> None:
-        """Send the request once, beside the attempts that are open."""
+        """Send the request once; attempts that are open stay so."""
         state = placed.state
         now = read_clock()
         state.record_sent(now)
@@ -366,7 +366,8 @@
         log_attempt(progress, placed, revision, self._proof.age, rate_limit, coldness, beside)
         progress.attempts += 1
         charged = progress.unsent_retries > 0
-        progress.unsent_retries -= charged
+        if charged:
+            progress.unsent_retries -= 1
         cleanup = AsyncExitStack()
         running = cleanup.enter_context(
             self._detector.track_request(placed.states, progress.workload)
@@ -445,7 +446,7 @@
     async def _review_times(
         self, progress: RequestProgress, attempts: OpenAttempts
     ) -> Outcome | None:
-        """Act on attempts that have not begun in time, or are silent."""
+        """End attempts that have not begun in time, and hedge silent ones."""
         now = read_clock()
         for attempt in list(attempts.attempts):
             if self._must_begin(progress, attempt) and now >= attempt.begin_by:
@@ -476,6 +477,7 @@
             attempts.begin_placement(partial(self._place_hedge, progress, attempts, attempt))
 
     def _record_silence(self, attempt: AttemptProgress, now: float) -> None:
+        """Exclude a silent endpoint for now, and check whether it has failed."""
         self._endpoints.record_silence(attempt.state, attempt.heard_at, now)
         for state in attempt.placed.states:
             self._detector.record_silence(state, attempt.running)
@@ -508,6 +510,7 @@
     def _handle_placement(
         self, progress: RequestProgress, attempts: OpenAttempts, placement: Placed | Refused
     ) -> Outcome | None:
+        """Send a further attempt where it was placed, or go on without it."""
         if attempts.winner is not None:
             self._return_retries(progress)
             return None
@@ -593,7 +596,8 @@
         progress.tried.update(each.endpoint.agent_id for each in at_fault)
         if isinstance(result, NotSent):
             progress.attempts -= 1
-            progress.unsent_retries += attempt.charged
+            if attempt.charged:
+                progress.unsent_retries += 1
             progress.connect_seconds += read_clock() - attempt.running.sent_at
             return self._after_not_sent(progress, attempts, state, result)
         if isinstance(result, Rejected):
@@ -817,7 +821,7 @@
             attempt.wait = attempt.events.read
             return None
         attempt.patience = inf
-        if reply.status >= 500 and self._may_improve(progress, attempts):
+        if reply.status >= 500 and self._retry_failure(progress, attempts):
             attempt.phase = Phase.FAILURE_BODY
         else:
             attempt.phase = Phase.BODY
@@ -826,10 +830,11 @@
         attempt.wait = partial(read_whole, partial(relay_answer, reply, sink, progress, claim))
         return None
 
-    def _may_improve(self, progress: RequestProgress, attempts: OpenAttempts) -> bool:
-        """Return whether another endpoint may still answer a request that failed at one.
+    def _retry_failure(self, progress: RequestProgress, attempts: OpenAttempts) -> bool:
+        """Begin a retry of a request that failed at an endpoint, unless others are open.
 
-        Its answer is kept until then: a retry that was paid for may be refused.
+        :returns: whether another endpoint may still answer. The failure is kept until then, as the
+            retry may be refused.
         """
         if attempts.placement is not None or len(attempts.attempts) > 1:
             return True
@@ -841,7 +846,7 @@
     async def _end_silence(
         self, progress: RequestProgress, attempts: OpenAttempts, attempt: AttemptProgress
     ) -> None:
-        """Note that a silent endpoint goes on; nothing further is sent beside it."""
+        """Note that a silent endpoint goes on, and place no hedge that is not sent yet."""
         if attempt.silent_since is None:
             return
         log_silence_end(progress, attempt)
--- a/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_request_log.py
@@ -104,7 +104,7 @@
 
 
 def log_no_second_attempt(progress: RequestProgress, attempt: AttemptProgress, reason: str) -> None:
-    """Log why no other endpoint is tried beside a silent one, once for each reason in a row."""
+    """Log why a silent attempt is not hedged, once for each reason in a row."""
     if attempt.refusal == reason:
         return
     attempt.refusal = reason
--- a/packages/wrenloft-routing/tests/test_open_attempts.py
+++ b/packages/wrenloft-routing/tests/test_open_attempts.py
@@ -64,9 +64,7 @@
 
 async def test_placement_ends_with_its_request() -> None:
     """Guards against a placement that another one replaces and that outlives its request."""
-    harness = _Harness(
-        _After(0.25, NotSent("refused", silent=True)), FakeReply([b"ok"]), FakeReply([b"ok"])
-    )
+    harness = _Harness(_After(0.25, NotSent("refused")), FakeReply([b"ok"]), FakeReply([b"ok"]))
     harness.set_objective(0.02)
     calls = 0
 
