Show that a hedge is closed at once, and a kept failure sent last

make prove found that two safeguards were not needed by their tests: the end of the request closes all attempts as well, and one was not taken out by its replacement. Without them the tests named now fail.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -57,7 +57,7 @@
         "log_superseded(progress, each, winner)\n                await attempts.drop(each)",
         "log_superseded(progress, each, winner)",
         f"{ROUTING_TESTS}/test_silent_endpoints.py"
-        "::test_first_endpoint_to_go_on_wins_and_the_other_is_closed",
+        "::test_hedge_is_closed_before_the_silent_endpoint_goes_on",
     ),
     Safeguard(
         "a retry that is not sent returns to the budget",
@@ -94,8 +94,10 @@
     Safeguard(
         "all attempts are closed before a kept failure is sent",
         f"{ROUTING}/_forward.py",
-        "        return await self._conclude(progress, outcome, sink)",
-        "            return await self._conclude(progress, outcome, sink)",
+        "                        outcome = await self._follow(progress, attempts, sink)\n",
+        "                        outcome = await self._follow(progress, attempts, sink)\n"
+        "                if outcome is not None:\n"
+        "                    return await self._conclude(progress, outcome, sink)\n",
         f"{ROUTING_TESTS}/test_open_attempts.py"
         "::test_kept_failure_is_sent_after_the_attempts_are_closed",
     ),
--- a/packages/wrenloft-routing/tests/test_silent_endpoints.py
+++ b/packages/wrenloft-routing/tests/test_silent_endpoints.py
@@ -11,7 +11,7 @@
 from wrenloft_routing import EndpointState, Lost, Rejected, ReplyBrokenError
 
 from . import test_forward
-from .conftest import FakeReply
+from .conftest import FakeReply, FakeSink
 from .test_forward import ENGINES, TABLE, DelayedReply, Harness, _events
 from .virtual_time import VirtualLoopPolicy, use_loop_clock
 
@@ -88,6 +88,21 @@
     assert second.parts
 
 
+async def test_hedge_is_closed_before_the_silent_endpoint_goes_on() -> None:
+    """Guards against a second endpoint that works until the stream of the first one ends."""
+    first = FakeReply([_events(0), 1.2, _events(1), 1.0, _events(2)], is_stream=True)
+    second = FakeReply([5.0, _events(1, 2)], is_stream=True)
+    harness = Harness(first, second)
+
+    class Sink(FakeSink):
+        async def write(self, data: bytes) -> None:
+            assert second.closed or data == _events(0)
+            await super().write(data)
+
+    harness.sink = Sink()
+    assert isinstance(await harness.send("stream", caller_timeout=8.0), Done)
+
+
 async def test_endpoint_that_resumes_a_stream_replaces_the_silent_one() -> None:
     """Guards against events of the silent endpoint behind those of the other."""
     first = FakeReply([_events(0), 4.0, _events(1, 2)], is_stream=True)
