--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -521,3 +521,15 @@
     await asyncio.sleep(0.01)
     assert state.suspect_until > read_loop_time()
     assert harness.probed == 1
+
+
+async def test_planned_restart_after_a_silence_is_no_failure() -> None:
+    """Guards against counting a silent request as crashed once its endpoint is replaced."""
+    harness = DetectorHarness(Liveness.REACHABLE)
+    await harness.lose_answers("a", silent=True)
+    harness.endpoints.update([replace(ENDPOINT, leaving=True)], trusted=True)
+    harness.detector.review()
+    assert not harness.failures
+    harness.endpoints.update([replace(ENDPOINT, born=6)], trusted=True)
+    harness.detector.review()
+    assert not harness.failures
