--- a/packages/wrenloft-routing/src/wrenloft_routing/_incomplete_answers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_incomplete_answers.py
@@ -22,7 +22,6 @@
     BROKEN_OFF = "broken off"
     DEADLINE = "deadline"
     QUARANTINED = "quarantined"
-    MEMORY = "memory"
     CALLER_LEFT = "caller left"
     CALLER_STALLED = "caller stalled"
     STOPPED = "stopped"
