Log how old the comparisons of staged chunks are when an engine takes them

'engine ordered' stated the result only, so that a late order could not be told from an old comparison. It now has the number of orders made, and the age of the oldest and the newest comparison at the engine's answer. No change of behaviour.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from itertools import count
 from math import ceil, log2
 from random import Random
 from typing import Any, TypeVar
@@ -183,6 +184,7 @@
         self._staging = asyncio.Lock()
         self._ready_at: dict[int, float] = {}
         self._adopted: set[int] = set()
+        self._compared_at: dict[int, float] = {}
         self._plan = LoadPlan(LayerSpan(0, context.layers), 1, 0, 0.0)
         self._plans: dict[int, LoadPlan] = {}
         self._sharing = SharedFetches(
@@ -776,6 +778,7 @@
         await self._context.engine.stage(version_chunks.name, chunk, data)
 
     async def _is_staged(self, version_chunks: VersionChunks, chunk: int) -> bool:
+        self._compared_at[chunk] = read_clock()
         data = await self._context.engine.read_staged(version_chunks.name, chunk)
         return data is not None and version_chunks.matches(chunk, data)
 
@@ -801,7 +804,9 @@
         # the next version could overwrite a verified one before that.
         async with self._staging:
             await self._verify(step.version_chunks, wanted)
-            result = await self._order_once_unloaded(step)
+            result, orders = await self._order_once_unloaded(step)
+            answered_at = read_clock()
+            compared_at = [self._compared_at[each] for each in wanted]
         note(
             _LOG,
             "engine ordered",
@@ -809,19 +814,26 @@
             first_layer=step.span.start,
             stop_layer=step.span.stop,
             result=result.value,
+            orders=orders,
+            oldest_comparison_ms=round(1000 * (answered_at - min(compared_at))),
+            newest_comparison_ms=round(1000 * (answered_at - max(compared_at))),
         )
         if result is OrderResult.ACCEPTED:
             await self._await_loaded(number, step.span)
 
-    async def _order_once_unloaded(self, step: LoadStep) -> OrderResult:
-        """Order the engine to load, again and again while it is busy with an order to unload."""
-        while True:
+    async def _order_once_unloaded(self, step: LoadStep) -> tuple[OrderResult, int]:
+        """Order the engine to load, again and again while it is busy with an order to unload.
+
+        :returns: the last result, and the number of orders.
+        """
+        for orders in count(1):
             state = self._context.latest.state
             is_unloading = state is not None and self._is_unloading(state)
             result = await self._context.engine.order(step.version_chunks.name, step.span)
             if result is not OrderResult.BUSY or not is_unloading:
-                return result
+                return result, orders
             await asyncio.sleep(UNLOAD_POLL_SECONDS)
+        raise AssertionError  # the loop ends by a return
 
     async def _await_loaded(self, number: int, span: LayerSpan) -> None:
         """Wait until the engine reports what it was ordered to load.
