Renew comparisons of staged chunks until an engine takes them

What callers saw: answers made with weights of which chunks had been corrupt for over three seconds when the engine took them; they look right.

Ruled out: writes between comparison and order, wrong digests, late answers, slow passes (12 to 22 ms).

Change: StagingArea knows when each chunk was last intact; LoadOrders renews what is over 1.2 s old before each order and sends none with a comparison over 1.8 s old. An order that is answered late or not at all is settled by comparing afterwards; the engine is withheld from entry nodes until then, and unloads what may be corrupt. Orders name the number of orders that the engine had accepted. A write that was given up keeps the area locked until it has ended.

Why it holds: a comparison counts from the start of its call, on a clock that counts suspensions; the call to the engine ends within a second; two comparisons as intact without a write between them prove all that lies between.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -23,6 +23,8 @@
 ROUTING_TESTS = "packages/wrenloft-routing/tests"
 SWARM = "packages/wrenloft-swarm/src/wrenloft_swarm"
 SWARM_TESTS = "packages/wrenloft-swarm/tests/test_swarm.py"
+CORRUPT_CHUNKS = "packages/wrenloft-swarm/tests/test_corrupt_chunks.py::TestCorruptChunks"
+STAGING_AREA = "packages/wrenloft-swarm/tests/test_corrupt_chunks.py::TestStagingArea"
 ADAPTER = "platform/wrenloft_platform"
 ADAPTER_TESTS = "tests/platform"
 REQUESTS = "tests/test_requests_under_failure.py"
@@ -580,19 +582,54 @@
     ),
     Safeguard(
         "swarm: staged chunks are read back before the order",
-        f"{SWARM}/_reconciler.py",
-        "return data is not None and version_chunks.matches(chunk, data)",
-        "return data is not None",
+        f"{SWARM}/_staging.py",
+        "return data if version_chunks.matches(chunk, data) else None",
+        "return data",
         f"{SWARM_TESTS}::TestReconciler"
         "::test_corrupt_staged_chunks_are_replaced_before_the_order",
     ),
     Safeguard(
         "swarm: nothing is staged between check and order",
-        f"{SWARM}/_reconciler.py",
-        "async with self._staging:\n            await self._verify",
-        "if True:\n            await self._verify",
+        f"{SWARM}/_load_orders.py",
+        "async with self._staging.lock:",
+        "if True:",
         f"{SWARM_TESTS}::TestReconciler::test_next_versions_chunk_overwrites_no_verified_one",
     ),
+    Safeguard(
+        "swarm: comparisons are renewed while an engine is busy",
+        f"{SWARM}/_staging.py",
+        "kept_since = read_clock() - max_age",
+        "kept_since = read_clock() - 60.0",
+        f"{CORRUPT_CHUNKS}::test_chunks_corrupt_during_an_unload_are_replaced",
+    ),
+    Safeguard(
+        "swarm: chunks of a late order are compared after it",
+        f"{SWARM}/_staging.py",
+        "and self.measure_age(wanted) <= CORRUPTION_GRACE_SECONDS",
+        "",
+        f"{CORRUPT_CHUNKS}::test_order_sent_long_after_the_comparison_is_undone",
+    ),
+    Safeguard(
+        "swarm: a chunk that was corrupt too long before it was replaced is remembered",
+        f"{SWARM}/_staging.py",
+        "            self._exposed_at = now\n",
+        "            pass\n",
+        f"{CORRUPT_CHUNKS}::test_order_carried_out_by_an_engine_that_was_silent_is_undone",
+    ),
+    Safeguard(
+        "swarm: entry nodes send nothing to weights that may be corrupt",
+        f"{SWARM}/_load_orders.py",
+        "        self._latest.set_withheld(True)\n        if await self._prove(attempt):",
+        "        if await self._prove(attempt):",
+        f"{CORRUPT_CHUNKS}::test_engine_is_withheld_until_a_late_order_is_settled",
+    ),
+    Safeguard(
+        "swarm: a write that was given up ends before the comparisons",
+        f"{SWARM}/_staging.py",
+        "await asyncio.shield(write)",
+        "await write",
+        f"{STAGING_AREA}::test_area_stays_locked_until_an_abandoned_write_has_ended",
+    ),
     Safeguard(
         "swarm: a part that was fetched is loaded",
         f"{SWARM}/_reconciler.py",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_ports.py
@@ -69,8 +69,12 @@
     async def stage(self, name: VersionName, chunk: int, data: bytes) -> None:
         """Stage one chunk, replacing any staged chunk of the same number."""
 
-    async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
-        """Order the engine to load layers from the staged chunks."""
+    async def order(self, name: VersionName, span: LayerSpan, sequence: int) -> OrderResult:
+        """Order the engine to load layers from the staged chunks.
+
+        :param sequence: the number of accepted orders that its last report states. With any other
+            the order is rejected as ``BUSY``: the engine has restarted or has got another order.
+        """
 
     async def unload(self, name: VersionName, sequence: int) -> OrderResult:
         """Order the engine to drop all layers of the version that it has loaded.
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import count
 from math import ceil, log2
 from random import Random
-from typing import Any, TypeVar
 
 from aiohttp import ClientSession
 from prometheus_client import Counter
@@ -33,6 +31,7 @@
 )
 from wrenloft_swarm._assignments import Assignments
 from wrenloft_swarm._chunk_store import KEPT_VERSIONS, ChunkStore, VersionChunks, VersionName
+from wrenloft_swarm._load_orders import LoadOrders
 from wrenloft_swarm._neighbours import fetch_digests
 from wrenloft_swarm._ports import (
     Engine,
@@ -44,10 +43,9 @@
 )
 from wrenloft_swarm._server import LatestState
 from wrenloft_swarm._shared_fetches import SharedFetches
+from wrenloft_swarm._staging import StagingArea, run_limited
 from wrenloft_swarm._transfer import DEFAULT_DRAIN_SECONDS, SwarmTransfer
 
-T = TypeVar("T")
-
 _LOG = logging.getLogger(__name__)
 
 POLL_SECONDS = 0.1
@@ -96,9 +94,6 @@
 )
 
 _RETRY_SECONDS = 0.2
-_MAX_STAGE_CALLS = 4
-"""Staged chunks written or read at once; they don't use the host's link."""
-
 _ORDER_EFFECT_SECONDS = 1.0
 """Time without a sign of an accepted order in the engine's report, after which the order is
 repeated: the engine crashed, or the order was lost."""
@@ -181,10 +176,12 @@
         self._unload_answered_at: tuple[int, int] | None = None
         self._unloaded_sequence: int | None = None
         self._target_changed = asyncio.Event()
-        self._staging = asyncio.Lock()
+        self._staging = StagingArea(context.engine)
+        self._load_orders = LoadOrders(
+            context.engine, context.latest, self._staging, self._is_engine_unloading
+        )
         self._ready_at: dict[int, float] = {}
         self._adopted: set[int] = set()
-        self._compared_at: dict[int, float] = {}
         self._plan = LoadPlan(LayerSpan(0, context.layers), 1, 0, 0.0)
         self._plans: dict[int, LoadPlan] = {}
         self._sharing = SharedFetches(
@@ -224,10 +221,14 @@
 
     async def poll_engine(self) -> None:
         """Read the engine's report periodically until cancelled."""
-        failing = False
+        failing, sequence = False, 0
         while True:
             try:
-                self._context.latest.set(await self._context.engine.report())
+                report = await self._context.engine.report()
+                if report.sequence < sequence:
+                    self._staging.forget()
+                sequence = report.sequence
+                self._context.latest.set(report)
                 failing = False
             except PlatformUnavailableError as error:
                 if not failing:
@@ -363,6 +364,10 @@
         """
         return state.loading and state.sequence == self._unloaded_sequence
 
+    def _is_engine_unloading(self) -> bool:
+        state = self._context.latest.state
+        return state is not None and self._is_unloading(state)
+
     def _is_superseded(self, number: int) -> bool:
         """Return whether requests may begin on a newer version than this only."""
         return any(newer > number and self._is_required(newer) for newer in self._unnamed_at)
@@ -545,7 +550,7 @@
     async def _adopt_staged(self, version_chunks: VersionChunks) -> None:
         """Store the staged chunks that match a version's digests."""
         staged = await self._context.engine.list_staged(version_chunks.name)
-        await _run_limited([self._adopt(version_chunks, chunk) for chunk in sorted(staged)])
+        await run_limited([self._adopt(version_chunks, chunk) for chunk in sorted(staged)])
         note(
             _LOG,
             "staged chunks recovered",
@@ -554,12 +559,8 @@
         )
 
     async def _adopt(self, version_chunks: VersionChunks, chunk: int) -> None:
-        data = await self._context.engine.read_staged(version_chunks.name, chunk)
-        if (
-            data is not None
-            and chunk < len(version_chunks.digests)
-            and version_chunks.matches(chunk, data)
-        ):
+        data = await self._staging.read_intact(version_chunks, chunk)
+        if data is not None:
             version_chunks.add(chunk, data, "engine")
 
     async def _open(self, name: VersionName) -> VersionChunks:
@@ -744,15 +745,9 @@
         state = self._context.latest.state
         if state is None or (state.loading and not self._is_unloading(state)):
             return
-        if self._staging.locked() or any(
-            self._is_load_pending(x, state, name) for x in self._wanted
-        ):
+        if any(self._is_load_pending(each, state, name) for each in self._wanted):
             return
-        async with self._staging:
-            try:
-                await self._context.engine.stage(name, chunk, data)
-            except PlatformUnavailableError as error:
-                note(_LOG, "chunk staging deferred", chunk=chunk, reason=str(error))
+        await self._staging.write_unless_locked(name, chunk, data)
 
     async def _refetch_digests(self, version_chunks: VersionChunks) -> None:
         """Fetch the digests again: a digest corrupted in transit matches no chunk."""
@@ -766,74 +761,12 @@
             if data is not None and replacement.matches(chunk, data):
                 replacement.add(chunk, data, "own")
 
-    async def _stage(self, version_chunks: VersionChunks, chunk: int) -> None:
-        """Stage a stored chunk.
-
-        Staged bytes may become corrupt, and the engine loads them as they are when it accepts the
-        order, so the caller compares each chunk with its digest just before.
-        """
-        data = version_chunks.get(chunk)
-        if data is None:
-            raise PlatformUnavailableError("chunk is not stored", step="stage")
-        await self._context.engine.stage(version_chunks.name, chunk, data)
-
-    async def _is_staged(self, version_chunks: VersionChunks, chunk: int) -> bool:
-        self._compared_at[chunk] = read_clock()
-        data = await self._context.engine.read_staged(version_chunks.name, chunk)
-        return data is not None and version_chunks.matches(chunk, data)
-
-    async def _verify(self, version_chunks: VersionChunks, wanted: range) -> None:
-        """Read staged chunks back, and stage those again that are missing or corrupt."""
-        valid = await _run_limited([self._is_staged(version_chunks, each) for each in wanted])
-        corrupt = [chunk for chunk, is_valid in zip(wanted, valid, strict=True) if not is_valid]
-        if corrupt:
-            note(
-                _LOG,
-                "staged chunks missing or corrupt",
-                version=version_chunks.name.number,
-                count=len(corrupt),
-            )
-            await _run_limited([self._stage(version_chunks, each) for each in corrupt])
-            await self._verify(version_chunks, wanted)
-
     async def _load(self, step: LoadStep) -> None:
-        """Verify what is staged, order the engine to load it, and wait until it has."""
+        """Order the engine to load what is staged, and wait until it has."""
         wanted = self._list_chunks(step.span, step.version_chunks)
-        number = step.wanted.number
-        # The engine loads what is staged when it accepts the order. Without the lock, a chunk of
-        # the next version could overwrite a verified one before that.
-        async with self._staging:
-            await self._verify(step.version_chunks, wanted)
-            result, orders = await self._order_once_unloaded(step)
-            answered_at = read_clock()
-            compared_at = [self._compared_at[each] for each in wanted]
-        note(
-            _LOG,
-            "engine ordered",
-            version=number,
-            first_layer=step.span.start,
-            stop_layer=step.span.stop,
-            result=result.value,
-            orders=orders,
-            oldest_comparison_ms=round(1000 * (answered_at - min(compared_at))),
-            newest_comparison_ms=round(1000 * (answered_at - max(compared_at))),
-        )
+        result = await self._load_orders.load(step.version_chunks, step.span, wanted)
         if result is OrderResult.ACCEPTED:
-            await self._await_loaded(number, step.span)
-
-    async def _order_once_unloaded(self, step: LoadStep) -> tuple[OrderResult, int]:
-        """Order the engine to load, again and again while it is busy with an order to unload.
-
-        :returns: the last result, and the number of orders.
-        """
-        for orders in count(1):
-            state = self._context.latest.state
-            is_unloading = state is not None and self._is_unloading(state)
-            result = await self._context.engine.order(step.version_chunks.name, step.span)
-            if result is not OrderResult.BUSY or not is_unloading:
-                return result, orders
-            await asyncio.sleep(UNLOAD_POLL_SECONDS)
-        raise AssertionError  # the loop ends by a return
+            await self._await_loaded(step.wanted.number, step.span)
 
     async def _await_loaded(self, number: int, span: LayerSpan) -> None:
         """Wait until the engine reports what it was ordered to load.
@@ -851,16 +784,5 @@
         warn(_LOG, "load order had no effect", version=number, stop_layer=span.stop)
 
 
-async def _run_limited(calls: Sequence[Coroutine[Any, Any, T]]) -> list[T]:
-    """Run calls a few at a time, and return their results in order."""
-    semaphore = asyncio.Semaphore(_MAX_STAGE_CALLS)
-
-    async def run(call: Coroutine[Any, Any, T]) -> T:
-        async with semaphore:
-            return await call
-
-    return list(await asyncio.gather(*(run(each) for each in calls)))
-
-
 def _count_digest_rounds(neighbours: int) -> int:
     return DIGEST_ROUNDS + 2 * max(0, ceil(log2(max(1, neighbours) / 8)))
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_server.py
@@ -61,6 +61,7 @@
     :ivar received_at: time of the report.
     :ivar swap_pending: whether the engine, which still serves, is about to swap to another version
         and should receive no new requests.
+    :ivar withheld: whether the engine may have taken corrupt chunks; it should receive no requests.
     :ivar changed: set, and replaced, on any change.
     :ivar service_changed: set, and replaced, when what the engine serves changes.
     """
@@ -70,15 +71,25 @@
         self.state: EngineState | None = None
         self.received_at = 0.0
         self.swap_pending = False
+        self.withheld = False
         self.changed = asyncio.Event()
 
     def set_swap_pending(self, swap_pending: bool) -> None:
         """Set whether entry nodes should stop sending new requests to the engine."""
         if swap_pending != self.swap_pending:
             self.swap_pending = swap_pending
-            self.changed.set()
-            self.changed = asyncio.Event()
-            self._notify_service_changed()
+            self._notify_changed()
+
+    def set_withheld(self, withheld: bool) -> None:
+        """Set whether entry nodes should send no requests until the engine's weights are proven."""
+        if withheld != self.withheld:
+            self.withheld = withheld
+            self._notify_changed()
+
+    def _notify_changed(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+        self._notify_service_changed()
 
     def set(self, state: EngineState | None) -> None:
         """Set the report, ``None`` if the engine didn't answer."""
@@ -151,7 +162,7 @@
                 del fields["sequence"]
                 if not state.cold:
                     del fields["cold"]
-                if self._latest.swap_pending:
+                if self._latest.swap_pending or self._latest.withheld:
                     fields["span"] = None
                 await response.write(json.dumps(fields).encode() + b"\n")
                 MESSAGES.labels("report").inc()
--- a/packages/wrenloft-swarm/tests/test_swarm.py
+++ b/packages/wrenloft-swarm/tests/test_swarm.py
@@ -131,7 +131,7 @@
         self.accepted += 1
         return OrderResult.ACCEPTED
 
-    async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
+    async def order(self, name: VersionName, span: LayerSpan, sequence: int) -> OrderResult:
         if self.busy > 0:
             self.busy -= 1
             return OrderResult.BUSY
@@ -521,9 +521,9 @@
         harness = Harness(stack, session, engine, [Neighbour("127.0.0.1:9", near=True)], cold=True)
         order = engine.order
 
-        async def order_late(name: VersionName, span: LayerSpan) -> OrderResult:
+        async def order_late(name: VersionName, span: LayerSpan, sequence: int) -> OrderResult:
             await harness.reconciler._stage_on_arrival(VersionName(MODEL, 2), 0, _chunks(2)[0])
-            return await order(name, span)
+            return await order(name, span, sequence)
 
         engine.order = order_late  # type: ignore[method-assign]
         async with asyncio.timeout(20):
--- a/packages/wrenloft-swarm/tests/virtual_fleet.py
+++ b/packages/wrenloft-swarm/tests/virtual_fleet.py
@@ -143,7 +143,7 @@
         await asyncio.sleep(STAGE_SECONDS)
         self.staged[chunk] = data
 
-    async def order(self, name: VersionName, span: LayerSpan) -> OrderResult:
+    async def order(self, name: VersionName, span: LayerSpan, sequence: int) -> OrderResult:
         if self.loading:
             return OrderResult.BUSY
         self.ordered.setdefault(name.number, self.fleet.elapsed)
