Choose the version to load again while an engine is busy

What callers saw: an engine that unloaded for seconds loaded the version that was the newest whole one when its agent gave the first order, also if a newer one was required or whole by then; for the seconds of a second load it served nobody.

Change: before each repetition the choice is made again; if it differs, the order is given up, unless an earlier one was not answered.

Test: test_version_is_chosen_again_while_the_engine_is_busy, which failed before (versions 2 and 3 taken instead of 3 alone).

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -602,6 +602,13 @@
         "kept_since = read_clock() - 60.0",
         f"{CORRUPT_CHUNKS}::test_chunks_corrupt_during_an_unload_are_replaced",
     ),
+    Safeguard(
+        "swarm: the version to load is chosen again while an engine is busy",
+        f"{SWARM}/_load_orders.py",
+        "if attempt.unanswered_since is None and not is_current():",
+        "if False:",
+        f"{CORRUPT_CHUNKS}::test_version_is_chosen_again_while_the_engine_is_busy",
+    ),
     Safeguard(
         "swarm: chunks of a late order are compared after it",
         f"{SWARM}/_staging.py",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_load_orders.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_load_orders.py
@@ -99,11 +99,17 @@
         self._is_unloading = is_unloading
 
     async def load(
-        self, version_chunks: VersionChunks, span: LayerSpan, wanted: range
+        self,
+        version_chunks: VersionChunks,
+        span: LayerSpan,
+        wanted: range,
+        is_current: Callable[[], bool],
     ) -> OrderResult:
         """Order the engine to load layers, again and again while it is busy with an unload.
 
         :param wanted: numbers of the chunks of these layers.
+        :param is_current: returns whether these layers are still the ones to load next. An engine
+            may be busy for seconds, in which a newer version can replace this one.
         :returns: ``ACCEPTED`` if the engine took intact chunks.
         :raises PlatformUnavailableError: if the engine didn't answer before the first order.
         """
@@ -112,7 +118,7 @@
         async with self._staging.lock:
             self._staging.forget()  # an engine that has restarted may have lost what was staged
             try:
-                await self._order_until_answered(attempt)
+                await self._order_until_answered(attempt, is_current)
                 self._log(attempt)
                 if not attempt.may_be_taken:
                     return attempt.result
@@ -136,7 +142,9 @@
             unanswered=attempt.unanswered_since is not None,
         )
 
-    async def _order_until_answered(self, attempt: LoadAttempt) -> None:
+    async def _order_until_answered(
+        self, attempt: LoadAttempt, is_current: Callable[[], bool]
+    ) -> None:
         while True:
             try:
                 await self._order(attempt)
@@ -148,6 +156,8 @@
             else:
                 if attempt.result is not OrderResult.BUSY or not self._is_unloading():
                     return
+                if attempt.unanswered_since is None and not is_current():
+                    return
             await asyncio.sleep(ORDER_POLL_SECONDS)
 
     async def _order(self, attempt: LoadAttempt) -> None:
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -433,6 +433,10 @@
                 return LoadStep(version_chunks, first, wanted)
         return None
 
+    def _is_chosen(self, step: LoadStep) -> bool:
+        state = self._context.latest.state
+        return state is not None and self._choose_load(state) == step
+
     def _needs_part(self, state: EngineState, wanted: WantedVersion) -> bool:
         if state.span is None:
             return True
@@ -764,7 +768,9 @@
     async def _load(self, step: LoadStep) -> None:
         """Order the engine to load what is staged, and wait until it has."""
         wanted = self._list_chunks(step.span, step.version_chunks)
-        result = await self._load_orders.load(step.version_chunks, step.span, wanted)
+        result = await self._load_orders.load(
+            step.version_chunks, step.span, wanted, lambda: self._is_chosen(step)
+        )
         if result is OrderResult.ACCEPTED:
             await self._await_loaded(step.wanted.number, step.span)
 
--- a/packages/wrenloft-swarm/tests/test_corrupt_chunks.py
+++ b/packages/wrenloft-swarm/tests/test_corrupt_chunks.py
@@ -467,6 +467,19 @@
 
         _play(work)
 
+    def test_version_is_chosen_again_while_the_engine_is_busy(self) -> None:
+        """Guards against seconds spent on a version that a newer one has replaced meanwhile."""
+
+        async def work(agent: Agent) -> None:
+            await agent.begin_unload()
+            await agent.wait_until(lambda: agent.engine.rejected > 0)
+            agent.reconciler.set_target_version(3)
+            await agent.wait_for_load(3)
+            assert [each.version for each in agent.engine.taken] == [3]
+            agent.check_weights()
+
+        _play(work)
+
     def test_second_part_is_compared_again(self) -> None:
         """Guards against chunks that were intact when the first part of a version was loaded."""
 
