Ask whether a leaving endpoint still lives before its answer counts as complete

Cause: FailureDetector.has_ended made no probe for an endpoint that is leaving or no longer listed. An answer without a length ends with its connection, and the end of a process closes connections like the end of an answer.

Change: the probe is made for every endpoint. If connections are refused, a stream is resumed, an idempotent answer is made by another endpoint, and any other is broken off.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -44,6 +44,16 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "an answer without a length that ends with a leaving endpoint is not complete",
+        f"{ROUTING}/_failure_detector.py",
+        "        return await self._probe(state.endpoint.address) is Liveness.REFUSED\n",
+        "        if state.leaving or not self._is_listed(state):\n"
+        "            return False\n"
+        "        return await self._probe(state.endpoint.address) is Liveness.REFUSED\n",
+        f"{ROUTING_TESTS}/test_forward.py::TestAnswersWithoutLength"
+        "::test_stream_that_ends_with_a_leaving_endpoint_is_resumed",
+    ),
     Safeguard(
         "a silent attempt stays open while another one is made",
         f"{ROUTING}/_forward.py",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_failure_detector.py
@@ -308,10 +308,8 @@
         """Return whether an endpoint that has closed a connection cleanly has ended.
 
         An answer without a length ends with its connection, and so does each answer of a process
-        that ends. An endpoint that is leaving, or is no longer listed, may end after its answer.
+        that ends. One that is leaving serves until it ends, so that the same holds for it.
         """
-        if state.leaving or not self._is_listed(state):
-            return False
         return await self._probe(state.endpoint.address) is Liveness.REFUSED
 
     def _begin_check(self, state: EndpointState) -> _Check:
--- a/packages/wrenloft-routing/tests/test_forward.py
+++ b/packages/wrenloft-routing/tests/test_forward.py
@@ -923,13 +923,52 @@
         await harness.send("safe")
         assert harness.sink.body == b"whole"
 
-    async def test_leaving_endpoint_may_end_after_its_answer(self) -> None:
-        """Guards against failing the last answers of an endpoint that drains."""
+    async def test_last_answer_of_an_endpoint_that_drains_is_complete(self) -> None:
+        """Guards against failing the answers of an endpoint that is leaving and still serves."""
         notice = EndpointNotice(leaving=True)
         harness = Harness(FakeReply([b"last"], framed=False, notice=notice))
-        harness.liveness = Liveness.REFUSED
         await harness.send("safe")
         assert harness.sink.body == b"last"
+        assert len(harness.attempts) == 1
+
+    async def test_whole_answer_that_ends_with_a_leaving_endpoint_is_given_by_another(self) -> None:
+        """Guards against part of a body that looks whole after a crash during a drain."""
+        notice = EndpointNotice(leaving=True)
+        harness = Harness(FakeReply([b"par"], framed=False, notice=notice), FakeReply([b"whole"]))
+        harness.liveness = Liveness.REFUSED
+        await harness.send("safe")
+        assert harness.sink.body == b"whole"
+
+    async def test_stream_that_ends_with_a_leaving_endpoint_is_resumed(self) -> None:
+        """Guards against a stream that looks complete after a crash during a drain."""
+        notice = EndpointNotice(leaving=True)
+        first = FakeReply([_events(0)], is_stream=True, framed=False, notice=notice)
+        harness = Harness(first, FakeReply([_events(1)], is_stream=True))
+        harness.liveness = Liveness.REFUSED
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert harness.attempts[1].last_event == 0
+
+    async def test_complete_stream_of_an_endpoint_that_has_left_is_confirmed(self) -> None:
+        """Guards against failing a stream whose endpoint ended right after its last event."""
+        notice = EndpointNotice(leaving=True)
+        first = FakeReply([_events(0, 1)], is_stream=True, framed=False, notice=notice)
+        harness = Harness(first, FakeReply([], is_stream=True))
+        harness.liveness = Liveness.REFUSED
+        assert isinstance(await harness.send("stream"), Done)
+        assert harness.sink.body == _events(0, 1)
+        assert harness.sink.ended
+
+    async def test_unlisted_endpoint_that_ends_with_its_answer_has_ended(self) -> None:
+        """Guards against truncated answers of an endpoint that drains without saying so."""
+        harness = Harness()
+        state = harness.endpoints.get(AgentId(f"{PLAIN}-0"))
+        assert state is not None
+        harness.set_plain_endpoints(1)
+        detector = harness.forwarder._detector
+        assert not await detector.has_ended(state)
+        harness.liveness = Liveness.REFUSED
+        assert await detector.has_ended(state)
 
     async def test_connection_is_not_taken_for_reusable(self) -> None:
         """Guards against predictions that count on a connection which has ended."""
