Forward compressed bodies of requests as they were sent

Cause: the server of the HTTP library decompresses bodies of requests by default. Shown at the forwarder, so that the client of the library is ruled out.

Change: the listener for callers is told not to.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -44,6 +44,13 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "compressed bodies of callers are not unpacked",
+        f"{ADAPTER}/_serve.py",
+        "        auto_decompress=False,  # bodies are forwarded as they were sent\n",
+        "",
+        f"{ADAPTER_TESTS}/test_memory.py::test_compressed_body_stays_as_sent",
+    ),
     Safeguard(
         "an answer without a length that ends with a leaving endpoint is not complete",
         f"{ROUTING}/_failure_detector.py",
