End the calls of a pass over staged chunks when one fails

Cause: found by reading. A pass of calls to an engine that doesn't answer failed with the first call, and the others went on, four at a time, for up to 24 s; the next passes ran beside them.

Change: the first failure cancels the rest; a write that is cancelled counts as unanswered.

Test: test_pass_over_a_silent_engine_leaves_no_calls_behind, which failed before.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
@@ -66,7 +66,7 @@
         self._intact_at.pop(chunk, None)
         try:
             await self._engine.stage(name, chunk, data)
-        except PlatformUnavailableError:
+        except (PlatformUnavailableError, asyncio.CancelledError):
             self._unanswered_write = True  # the engine may still carry it out
             raise
 
@@ -159,11 +159,20 @@
 
 
 async def run_limited(calls: Sequence[Coroutine[Any, Any, T]]) -> list[T]:
-    """Run calls a few at a time, and return their results in order."""
+    """Run calls a few at a time, and return their results in order.
+
+    The first that fails ends the others. Left running against an engine that doesn't answer, the
+    calls of one pass would last into the next ones.
+    """
     semaphore = asyncio.Semaphore(_MAX_STAGE_CALLS)
 
     async def run(call: Coroutine[Any, Any, T]) -> T:
         async with semaphore:
             return await call
 
-    return list(await asyncio.gather(*(run(each) for each in calls)))
+    tasks = [asyncio.create_task(run(each)) for each in calls]
+    try:
+        return list(await asyncio.gather(*tasks))
+    finally:
+        for task in tasks:
+            task.cancel()
--- a/packages/wrenloft-swarm/tests/test_corrupt_chunks.py
+++ b/packages/wrenloft-swarm/tests/test_corrupt_chunks.py
@@ -22,6 +22,7 @@
     OrderResult,
     Reconciler,
     ReconcilerContext,
+    VersionChunks,
     VersionName,
 )
 from wrenloft_swarm._staging import StagingArea
@@ -561,3 +562,17 @@
                 assert agent.engine.staged == {2: b"next"}
 
         _play(work)
+
+    def test_pass_over_a_silent_engine_leaves_no_calls_behind(self) -> None:
+        """Guards against passes that pile up while an engine does not answer."""
+
+        async def work(agent: Agent) -> None:
+            agent.engine.silent_until = read_clock() + 60.0
+            version_chunks = VersionChunks(VersionName(MODEL, 1), ["0" * 64] * CHUNKS)
+            before = asyncio.all_tasks()
+            with pytest.raises(PlatformUnavailableError):
+                await StagingArea(agent.engine).refresh(version_chunks, range(CHUNKS), 0.0)
+            await asyncio.sleep(0.01)
+            assert asyncio.all_tasks() == before
+
+        _play(work)
