Count how long a chunk was corrupt until it has been replaced

Cause: found by reading. An order without an answer may be carried out while a corrupt chunk is being replaced. The time for which it had been corrupt was counted up to the comparison, not up to the end of the write, up to a second later; and from nothing if the chunk had been replaced before without being found intact since.

Change: it counts from the last comparison as intact, whatever was written since, to the end of the write. The missing answer is logged once a load.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_load_orders.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_load_orders.py
@@ -51,6 +51,7 @@
 
     :ivar unanswered_since: time of the first order without an answer, which the engine may carry
         out at any later time.
+    :ivar logged: whether that is logged.
     """
 
     version_chunks: VersionChunks
@@ -59,6 +60,7 @@
     orders: int = 0
     sent_at: float = 0.0
     unanswered_since: float | None = None
+    logged: bool = False
     result: OrderResult = OrderResult.BUSY
 
     @property
@@ -151,7 +153,8 @@
             except PlatformUnavailableError as error:
                 if attempt.unanswered_since is None:
                     raise
-                if attempt.orders == 1:
+                if not attempt.logged:
+                    attempt.logged = True
                     note(_LOG, "load order not answered", reason=str(error))
             else:
                 if attempt.result is not OrderResult.BUSY or not self._is_unloading():
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
@@ -36,6 +36,7 @@
         self._engine = engine
         self._name: VersionName | None = None
         self._intact_at: dict[int, float] = {}
+        self._last_intact_at: dict[int, float] = {}  # also of chunks that were written since
         self._exposed_at = -inf
         self._unanswered_write = False
         self._writes: set[asyncio.Task[None]] = set()
@@ -87,6 +88,7 @@
     def forget(self) -> None:
         """Forget all comparisons."""
         self._intact_at.clear()
+        self._last_intact_at.clear()
 
     async def refresh(
         self, version_chunks: VersionChunks, wanted: Sequence[int], max_age: float
@@ -98,7 +100,7 @@
         """
         if version_chunks.name != self._name:
             self._name = version_chunks.name
-            self._intact_at.clear()
+            self.forget()
         kept_since = read_clock() - max_age
         stale = [each for each in wanted if self._intact_at.get(each, -inf) < kept_since]
         while stale:
@@ -117,6 +119,9 @@
         if data is None:
             raise PlatformUnavailableError("chunk is not stored", step="stage")
         await self._write(version_chunks.name, chunk, data)
+        now = read_clock()
+        if now - self._last_intact_at.get(chunk, now) > CORRUPTION_GRACE_SECONDS:
+            self._exposed_at = now
 
     async def _list_corrupt(
         self, version_chunks: VersionChunks, chunks: Sequence[int]
@@ -128,11 +133,8 @@
         # The engine reads the chunk after the call, and the answer may be late.
         begun_at = read_clock()
         if await self.read_intact(version_chunks, chunk) is not None:
-            self._intact_at[chunk] = begun_at
+            self._intact_at[chunk] = self._last_intact_at[chunk] = begun_at
             return True
-        now = read_clock()
-        if now - self._intact_at.get(chunk, now) > CORRUPTION_GRACE_SECONDS:
-            self._exposed_at = now
         return False
 
     def is_proven(self, wanted: Iterable[int], since: float) -> bool:
