Probe whether an endpoint's process lives, not its kernel

Cause: a kernel completes connections for a listener until the process has closed it. While a process ends it may have closed an answer's connection and not yet its listener, and the probe took the connection for a sign of life. Shown by a listener that never accepts and is closed 20 ms later.

Change: the probe ends its side and waits, 0.1 s at most, for how the other side ends the connection. A reset is followed by a second connection, since an endpoint with too many connections resets them and lives.

Left: a process that takes over 0.1 s from the close of an answer's connection to that of its listener.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -44,6 +44,14 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "a connection that nothing accepts is no sign of life",
+        f"{ROUTING}/_liveness.py",
+        "if await _is_reset(*await _connect(address)):",
+        "if await _connect(address) is None:",
+        f"{ROUTING_TESTS}/test_failure_detector.py"
+        "::test_connection_that_an_ending_process_never_accepts_shows_no_life",
+    ),
     Safeguard(
         "compressed bodies of callers are not unpacked",
         f"{ADAPTER}/_serve.py",
--- a/packages/wrenloft-routing/tests/test_failure_detector.py
+++ b/packages/wrenloft-routing/tests/test_failure_detector.py
@@ -1,6 +1,7 @@
 """Tests of distinguishing a failed endpoint from a broken connection."""
 
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
@@ -201,6 +202,33 @@
     assert await probe_address(address) is Liveness.REFUSED
 
 
+async def test_connection_that_an_ending_process_never_accepts_shows_no_life() -> None:
+    """Guards against a process that counts as alive as its kernel still completes connections."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    asyncio.get_running_loop().call_later(0.02, listener.close)
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    assert await probe_address(address) is Liveness.REFUSED
+
+
+async def test_endpoint_that_resets_connections_is_alive() -> None:
+    """Guards against taking an endpoint with too many connections for one that has ended."""
+
+    async def reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    server = await asyncio.start_server(reset, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    assert await probe_address(address) is Liveness.REACHABLE
+    server.close()
+
+
+async def test_process_that_stands_still_is_alive() -> None:
+    """Guards against taking a paused process for one that has ended."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        assert await probe_address(address) is Liveness.REACHABLE
+
+
 async def test_request_sent_after_the_failure_is_not_involved() -> None:
     """A chain reports an engine that failed before the request was sent."""
     harness = DetectorHarness(Liveness.REFUSED)
