Recover the other staged chunks if one can't be read

Cause: ends the calls of a pass when one fails. Agents also used these calls to recover staged chunks at the start, once a version: a single read without an answer made them fetch all of it again.

Change: recovery goes on beside a call that failed, as before.

Test: test_chunks_are_recovered_beside_one_that_cannot_be_read, which failed before (24 chunks fetched instead of one).

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_reconciler.py
@@ -554,7 +554,8 @@
     async def _adopt_staged(self, version_chunks: VersionChunks) -> None:
         """Store the staged chunks that match a version's digests."""
         staged = await self._context.engine.list_staged(version_chunks.name)
-        await run_limited([self._adopt(version_chunks, chunk) for chunk in sorted(staged)])
+        adoptions = [self._adopt(version_chunks, chunk) for chunk in sorted(staged)]
+        await run_limited(adoptions, cancel_rest=False)
         note(
             _LOG,
             "staged chunks recovered",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
@@ -160,11 +160,13 @@
         return not corrupt and self._exposed_at < since
 
 
-async def run_limited(calls: Sequence[Coroutine[Any, Any, T]]) -> list[T]:
+async def run_limited(
+    calls: Sequence[Coroutine[Any, Any, T]], *, cancel_rest: bool = True
+) -> list[T]:
     """Run calls a few at a time, and return their results in order.
 
-    The first that fails ends the others. Left running against an engine that doesn't answer, the
-    calls of one pass would last into the next ones.
+    :param cancel_rest: whether the first that fails ends the others. Left running against an engine
+        that doesn't answer, the calls of one pass would last into the next ones.
     """
     semaphore = asyncio.Semaphore(_MAX_STAGE_CALLS)
 
@@ -176,5 +178,6 @@
     try:
         return list(await asyncio.gather(*tasks))
     finally:
-        for task in tasks:
-            task.cancel()
+        if cancel_rest:
+            for task in tasks:
+                task.cancel()
--- a/packages/wrenloft-swarm/tests/test_corrupt_chunks.py
+++ b/packages/wrenloft-swarm/tests/test_corrupt_chunks.py
@@ -518,6 +518,34 @@
 
         _play(work)
 
+    def test_chunks_are_recovered_beside_one_that_cannot_be_read(self) -> None:
+        """Guards against fetching all staged chunks again since one read got no answer."""
+
+        async def work(agent: Agent) -> None:
+            agent.engine.staged = {each: _make_chunk(2, each) for each in range(CHUNKS)}
+            read, fetch = agent.engine.read_staged, agent.origin.fetch_chunk
+            fetched: list[int] = []
+
+            async def fail_first(name: VersionName, chunk: int) -> bytes | None:
+                if chunk == 0 and name.number == 2:
+                    agent.engine.read_staged = read  # type: ignore[method-assign]
+                    raise PlatformUnavailableError("no answer", step="call")
+                return await read(name, chunk)
+
+            async def record(name: VersionName, chunk: int) -> bytes:
+                fetched.append(chunk)
+                return await fetch(name, chunk)
+
+            agent.engine.read_staged = fail_first  # type: ignore[method-assign]
+            agent.origin.fetch_chunk = record  # type: ignore[method-assign]
+            agent.origin.is_away = False
+            agent.start()
+            agent.reconciler.set_target_version(2)
+            await agent.wait_for_load()
+            assert fetched == [0]
+
+        _play(work)
+
     def test_write_of_an_abandoned_fetch_ends_before_the_comparison(self) -> None:
         """Guards against a chunk of another version that arrives after it was compared."""
 
