Close calls to an engine that are cancelled before their turn

A pass that failed left coroutines behind that were never awaited, and Python warned of each place once. Seen in the tests' warnings; no longer there.

--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_staging.py
@@ -171,8 +171,11 @@
     semaphore = asyncio.Semaphore(_MAX_STAGE_CALLS)
 
     async def run(call: Coroutine[Any, Any, T]) -> T:
-        async with semaphore:
-            return await call
+        try:
+            async with semaphore:
+                return await call
+        finally:
+            call.close()  # one that was cancelled before its turn
 
     tasks = [asyncio.create_task(run(each)) for each in calls]
     try:
