Read-through: log a missing answer where it is first recorded

A flag said whether the line had been written; the time of the first unanswered order says the same. The timeout of a probe no longer claims how soon a process closes its listener.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_liveness.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_liveness.py
@@ -7,8 +7,8 @@
 """Longest wait for a connection; an endpoint in another region answers in 6 ms."""
 
 END_TIMEOUT_SECONDS = 0.1
-"""Longest wait for the end of a connection that has nothing to send. A process that is ending has
-closed its listener long before; one that is paused takes longer."""
+"""Longest wait for the end of a connection that has nothing to send. After it the process counts
+as alive, since a paused one takes longer."""
 
 
 class Liveness(Enum):
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_load_orders.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_load_orders.py
@@ -51,7 +51,6 @@
 
     :ivar unanswered_since: time of the first order without an answer, which the engine may carry
         out at any later time.
-    :ivar logged: whether that is logged.
     """
 
     version_chunks: VersionChunks
@@ -60,7 +59,6 @@
     orders: int = 0
     sent_at: float = 0.0
     unanswered_since: float | None = None
-    logged: bool = False
     result: OrderResult = OrderResult.BUSY
 
     @property
@@ -150,12 +148,9 @@
         while True:
             try:
                 await self._order(attempt)
-            except PlatformUnavailableError as error:
+            except PlatformUnavailableError:
                 if attempt.unanswered_since is None:
                     raise
-                if not attempt.logged:
-                    attempt.logged = True
-                    note(_LOG, "load order not answered", reason=str(error))
             else:
                 if attempt.result is not OrderResult.BUSY or not self._is_unloading():
                     return
@@ -174,9 +169,10 @@
             attempt.result = await self._engine.order(
                 attempt.version_chunks.name, attempt.span, state.sequence
             )
-        except PlatformUnavailableError:
+        except PlatformUnavailableError as error:
             if attempt.unanswered_since is None:
                 attempt.unanswered_since = attempt.sent_at
+                note(_LOG, "load order not answered", reason=str(error))
             raise
 
     async def _refresh(self, attempt: LoadAttempt) -> None:
