--- a/review/standins_3/fleet.py
+++ b/review/standins_3/fleet.py
@@ -416,14 +416,33 @@
         await asyncio.sleep(0)
 
     async def _write_entries(self) -> None:
-        sequence = 0
+        """Keep the entry as the platform does.
+
+        It changes when more than its ``sequence`` does, which is never here, and is removed after
+        three heartbeat intervals of silence.
+        """
+        key, heard_at = f"servers/{self.name}", time.monotonic()
         while True:
             if self.light.is_set():
-                sequence += 1
-                entry = {"service": self.service, "address": self.address, "zone": "hall-a"}
-                entry |= {"version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0}
-                self.store.put_json(f"servers/{self.name}", entry | {"sequence": sequence})
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+                heard_at = time.monotonic()
+                if key not in self.store.items:
+                    self.store.put_json(key, self.build_entry())
+            elif time.monotonic() - heard_at > 3 * HEARTBEAT_SECONDS:
+                self.store.remove(key)
+            await asyncio.sleep(0.05)
+
+    def build_entry(self) -> dict[str, Any]:
+        """Return what it says of itself in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "hall-a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(asyncio.IncompleteReadError, ConnectionError):
