--- a/review/standins_3/fleet.py
+++ b/review/standins_3/fleet.py
@@ -515,7 +515,10 @@
 
 
 def run_case(folder: Path, play: Callable[[Record, bool], Awaitable[bool | None]]) -> int:
-    """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    """Play a case; return 10 if the rule was broken, 0 if it held, 2 if it couldn't run.
+
+    Python itself ends with 1 on an error.
+    """
     record = Record(folder / "record.txt")
     troubled = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"case {folder.name}, {'with' if troubled else 'without'} the disruption")
@@ -534,4 +537,4 @@
         record.note("could not run")
         return 2
     record.note("the rule was BROKEN" if broken else "the rule held")
-    return 1 if broken else 0
+    return 10 if broken else 0
