--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-for folder in ("standins_2", "4", "5", "6", "7", "8"):
+for folder in ("standins_2", "standins_3", "4", "5", "6", "7", "8"):
     for path in sorted(Path("review", folder).glob("*.py")):
         compile(path.read_text(), str(path), "exec")
 sys.exit(0)
