Refuse answers that RFC 9110 and RFC 9112 don't allow

What callers saw: an endpoint's "HTTP/1.1 000 Zero" arrived as "HTTP/1.1 0", also with "Connection: close" and as an extra answer with the id of the waiting request; 600 arrived as 600. A value with a control byte gave no answer at all: our own writer refused the head after it had been chosen, and the connection closed. A 000 with the header that denies a run was believed, and became a 503 that promises that the request has not run.

Cause: what the client library's parser lets through was taken for valid. It accepts any three digits as a status, HTTP/0.9 and HTTP/2.0, 101 without an upgrade, control bytes and DEL in values, folded lines, and transfer codings that nobody decodes ("gzip, chunked" and "xchunked" reached callers as the body).

Change: the bytes of a response are checked by the grammar of the RFCs before the library gets them, in one place, a class of connections that the session's connector opens. A folded line is refused, as RFC 9112, section 5.2 allows; two framing fields are refused (section 6.3). An invalid answer is one that was lost after it was sent: 502, no second send of what may run once, a failure of the endpoint. Valid bytes go to the parser unchanged.

Names with a blank or a control byte were refused by the parser already; their tests stay.

--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -1,5 +1,10 @@
 """Ids, outcomes, configuration and manifests shared by wrenloft's programs."""
 
+from wrenloft_core._checked_connections import (
+    CheckedConnector,
+    CheckedResponses,
+    InvalidResponseError,
+)
 from wrenloft_core._chunks import Manifest, build_manifest, digest_bytes
 from wrenloft_core._clock import read_clock
 from wrenloft_core._configuration import (
@@ -60,6 +65,8 @@
     "COUNTS_SECONDS",
     "AgentId",
     "BoundedHandler",
+    "CheckedConnector",
+    "CheckedResponses",
     "ChunkDigest",
     "Configuration",
     "ConfigurationError",
@@ -71,6 +78,7 @@
     "Header",
     "IncarnationId",
     "IntegrityError",
+    "InvalidResponseError",
     "KeyGrant",
     "Limits",
     "Manifest",
--- /dev/null
+++ b/tests/platform/test_broken_answers.py
@@ -0,0 +1,180 @@
+"""Tests of answers of endpoints that are none by RFC 9110 and RFC 9112."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession
+
+from .bare_endpoint import BareEndpoint, Pieces, send_once
+from .conftest import StandinEndpoint, StandinStore, full_response, stream_response
+from .test_programs import CONFIGURATION, Entry, start_program, write_settings
+from .test_stopping import Caller
+
+PATIENCE_SECONDS = 20.0
+"""Longest wait of a test for something that must happen."""
+
+TIMEOUT_MS = 3000
+FIELDS = b"X-Attempt-Id: {id}\r\nX-Response-Stamp: s1\r\n"
+LENGTH = b"Content-Length: 2\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\n" + FIELDS
+
+Node = tuple[Entry, BareEndpoint, StandinEndpoint]
+Start = Callable[[Pieces], Awaitable[Node]]
+
+
+@pytest.fixture
+def start(
+    stack: AsyncExitStack, store: StandinStore, endpoint: StandinEndpoint, tmp_path: Path
+) -> Start:
+    """Start an entry node with a broken endpoint and, for another service, a sound one."""
+
+    async def start_node(pieces: Pieces) -> Node:
+        broken = BareEndpoint(send_once(full_response(b"ok")))
+        await stack.enter_async_context(broken.listen())
+        once, stream = CONFIGURATION["routes"]
+        common = {"public": True, "timeoutMs": TIMEOUT_MS}
+        routes = [
+            {**once, **common},
+            {**stream, **common},
+            {**once, **common, "name": "sound", "prefix": "/sound/", "service": "sound"},
+        ]
+        services = [*CONFIGURATION["services"], {"name": "sound", "maxConnections": 20}]
+        store.put("op/config", {**CONFIGURATION, "routes": routes, "services": services})
+        for service, address in (("plain", broken.address), ("sound", endpoint.address)):
+            fields = {"service": service, "address": address, "zone": "z1", "slots": 8}
+            store.put(f"servers/{service}-1", {**fields, "state": "ready", "sequence": 1})
+        path = tmp_path / "settings.toml"
+        settings = write_settings(path, store.address)
+        process = await start_program("entry.py", path)
+        stack.push_async_callback(_kill, process)
+        client = await stack.enter_async_context(ClientSession())
+        entry = Entry(process, settings, client)
+        await entry.wait_ready()
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            for path_ in ("/once/x", "/sound/x"):
+                while (await entry.send(path_))[0] != 200:
+                    await asyncio.sleep(0.1)
+        broken.pieces = pieces
+        broken.received.clear()
+        return entry, broken, endpoint
+
+    return start_node
+
+
+async def _kill(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.kill()
+    await process.communicate()
+
+
+async def _read_answer(caller: Caller) -> bytes:
+    """Read one answer with a stated length."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        lines = dict(each.split(b": ", 1) for each in head.strip().lower().split(b"\r\n")[1:])
+        return head + await caller.reader.readexactly(int(lines[b"content-length"]))
+
+
+BROKEN = {
+    "status 000": b"HTTP/1.1 000 Zero\r\n" + FIELDS + LENGTH + b"\r\nok",
+    "status 000, closing": (
+        b"HTTP/1.1 000 Zero\r\n" + FIELDS + LENGTH + b"Connection: close\r\n\r\nok"
+    ),
+    "status 000 without an id": b"HTTP/1.1 000 Zero\r\n" + LENGTH + b"\r\nok",
+    "status 000 that denies a run": (
+        b"HTTP/1.1 000 Zero\r\n" + FIELDS + b"X-Not-Executed: 1\r\n" + LENGTH + b"\r\nok"
+    ),
+    "status 600": b"HTTP/1.1 600 Odd\r\n" + FIELDS + LENGTH + b"\r\nok",
+    "name with a blank": HEAD + b"X Odd: 1\r\n" + LENGTH + b"\r\nok",
+    "name with a control byte": HEAD + b"X\x01Odd: 1\r\n" + LENGTH + b"\r\nok",
+    "value with a control byte": HEAD + b"X-Odd: a\x01b\r\n" + LENGTH + b"\r\nok",
+}
+
+
+@pytest.mark.parametrize("answer", BROKEN.values(), ids=BROKEN)
+async def test_broken_answer_reaches_no_caller(
+    stack: AsyncExitStack, start: Start, answer: bytes
+) -> None:
+    """Guards against bytes that are no answer at callers, and against a second run.
+
+    The request may have run, so that the failure may not claim otherwise.
+    """
+    entry, broken, _ = await start(send_once(answer))
+    caller = await Caller.open(stack, entry)
+    caller.send("/once/x", "r1")
+    got = await _read_answer(caller)
+    assert got.startswith(b"HTTP/1.1 502 Bad Gateway\r\n")
+    assert b"X-Response-Stamp" not in got
+    assert broken.received == ["r1"]
+    for secret in (broken.address.encode(), b"/once/", b"Zero", b"Odd"):
+        assert secret not in got.partition(b"\r\n\r\n")[2]
+    caller.send("/sound/x", "r2")
+    assert (await _read_answer(caller)).startswith(b"HTTP/1.1 200 ")
+
+
+async def test_extra_broken_answer_with_the_id_of_the_waiting_request(
+    stack: AsyncExitStack, start: Start
+) -> None:
+    """Guards against an extra answer, broken, that a caller gets for its own."""
+    entry, broken, _ = await start(send_once(full_response(b"first")))
+    caller = await Caller.open(stack, entry)
+    caller.send("/once/x", "r0")
+    assert (await _read_answer(caller)).endswith(b"first")
+    extra = b"HTTP/1.1 000 Zero\r\n" + FIELDS + LENGTH + b"\r\nno"
+    broken.pieces = send_once(extra + full_response(b"own"))
+    caller.send("/once/x", "r1")
+    got = await _read_answer(caller)
+    assert got.startswith(b"HTTP/1.1 502 ")
+    assert broken.received == ["r0", "r1"]
+
+
+VALID: dict[str, tuple[bytes, Any]] = {
+    "interim answer": (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + full_response(b"ok"),
+        b"ok",
+    ),
+    "status 599": (full_response(b"ok", "599 Odd"), b"ok"),
+    "no reason": (full_response(b"ok", "200"), b"ok"),
+    "chunk extension": (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n2;a="b"\r\nok\r\n0\r\nX-T: 1\r\n\r\n',
+        b"ok",
+    ),
+}
+
+
+@pytest.mark.parametrize(("answer", "body"), VALID.values(), ids=VALID)
+async def test_valid_answer_goes_on_unchanged(
+    stack: AsyncExitStack, start: Start, answer: bytes, body: bytes
+) -> None:
+    """Guards against a check that refuses or changes answers which are within the protocol."""
+    entry, _, _ = await start(send_once(answer))
+    caller = await Caller.open(stack, entry)
+    caller.send("/once/x", "r1")
+    got = await _read_answer(caller)
+    final = answer[answer.rindex(b"HTTP/1.1") :]
+    assert got.split(b" ")[1] == final.split(b"\r\n")[0].split(b" ")[1]
+    assert got.partition(b"\r\n\r\n")[2] == body
+    dropped = (b"content-length", b"transfer-encoding", b"x-t:")
+    for line in final.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        if not line.lower().startswith(dropped):
+            assert line.replace(b"{id}", b"r1") + b"\r\n" in got
+
+
+async def test_stream_with_broken_bytes_between_events_never_looks_complete(
+    stack: AsyncExitStack, start: Start
+) -> None:
+    """Guards against a stream whose end is its endpoint's broken framing."""
+    begun = stream_response(b"id: 0\n\n").removesuffix(b"0\r\n\r\n")
+    entry, broken, _ = await start(lambda _: iter([begun.replace(b"{id}", b"r1"), b"zz\r\n\r\n"]))
+    broken.pause = 0.2
+    caller = await Caller.open(stack, entry)
+    caller.send("/stream/x", "r1")
+    rest = await caller.read_rest()
+    assert rest.startswith(b"HTTP/1.1 200 ")
+    assert b"id: 0\n\n" in rest
+    assert not rest.endswith(b"0\r\n\r\n")
