Bound the head of an answer, with the interim answers before it

What callers saw: an endpoint that sends 103 or 100 without end gets a 504 at the end of the request's time, and requests at sound endpoints beside it 503 or 504.

Cause: the library parses every interim response, keeps them all in the connection's queue, and skips them in a loop that doesn't yield while the queue has any. Nothing counts them.

Change: the scanner counts the bytes of a head together with the interim responses and empty lines before it, and gives up beyond 256 KiB. Interim responses don't reach the library, which only drops them: no request asks for 100 by "Expect".

Measured: 6 of the 9 endless forms failed their tests on (memory, bytes sent, or requests beside them); that state held a head without a bound as well. All 9 pass now.

Why it holds: the bound is on bytes between two final responses, of whatever form they are. Time is bounded by the request's deadline as before.

--- a/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
+MAX_HEAD_BYTES = 262144
+"""Longest head of a response, with the interim responses and empty lines before it. A load header
+of 10,000 figures takes 110 kB, and an interim response each second for an hour 100 kB."""
+
 MAX_CHUNK_LINE_BYTES = 4096
 """Longest line with the size of a chunk and its extensions, which nobody reads."""
 
@@ -48,6 +52,7 @@
     FRAMING = "invalid framing"
     CHUNK = "invalid chunk"
     TRAILER = "invalid trailer"
+    HEAD_TOO_LONG = "head too long"
     BODY_TOO_LONG = "body too long"
 
 
@@ -111,6 +116,7 @@
         self._another = False
         self._held = bytearray()  # of a head, line or trailer section that is not whole
         self._checked = 0  # bytes of a held head that are known to be valid
+        self._head_bytes = 0
         self._body_bytes = 0
         self._left = 0  # bytes of a sized body or chunk
 
@@ -163,14 +169,17 @@
         held = self._held
         if not held:
             rest = data[position:].lstrip(_LINE_END)  # empty lines before a status line
+            self._count_head(len(data) - position - len(rest))
             position = len(data) - len(rest)
         known = len(held)
         held += data[position:]
         found = _SECTION_END.search(held, max(0, known - len(_LINE_END)))
         if found is None:
+            self._count_head(len(held) - known)
             self._check_partial_head()
             return len(data)
         end = found.end()
+        self._count_head(end - known)
         head = bytes(held[:end])
         held.clear()
         self._checked = 0
@@ -178,6 +187,11 @@
             valid.append(head)
         return position + end - known
 
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise _InvalidError(InvalidReason.HEAD_TOO_LONG, bytes(self._held[:_EXCERPT_BYTES]))
+
     def _check_partial_head(self) -> None:
         """Check the lines that are whole, so that an invalid head is known before its end."""
         held = self._held
@@ -315,7 +329,7 @@
 
     def _begin_head(self) -> None:
         self._part = _Part.HEAD
-        self._checked = 0
+        self._checked = self._head_bytes = 0
 
     def _end_response(self) -> None:
         if self._another:
--- a/packages/wrenloft-core/tests/test_response_framing.py
+++ b/packages/wrenloft-core/tests/test_response_framing.py
@@ -6,6 +6,7 @@
 
 from wrenloft_core._response_framing import (
     MAX_CHUNK_LINE_BYTES,
+    MAX_HEAD_BYTES,
     MAX_TRAILER_BYTES,
     InvalidReason,
     ResponseScanner,
@@ -207,6 +208,17 @@
 
 
 ENDLESS: dict[str, tuple[bytes, bytes, InvalidReason, int]] = {
+    "interim responses": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n",
+        InvalidReason.HEAD_TOO_LONG,
+        MAX_HEAD_BYTES,
+    ),
+    "empty lines": (b"", b"\r\n", InvalidReason.HEAD_TOO_LONG, MAX_HEAD_BYTES),
+    "status line": (b"HTTP/1.1 200 ", b"x", InvalidReason.HEAD_TOO_LONG, MAX_HEAD_BYTES),
+    "field lines": (OK, b"X: 1\r\n", InvalidReason.HEAD_TOO_LONG, MAX_HEAD_BYTES),
+    "field name": (OK, b"x", InvalidReason.HEAD_TOO_LONG, MAX_HEAD_BYTES),
+    "field value": (OK + b"X:", b"x", InvalidReason.HEAD_TOO_LONG, MAX_HEAD_BYTES),
     "chunk size": (OK + CHUNKED + b"\r\n", b"0", InvalidReason.CHUNK, MAX_CHUNK_LINE_BYTES),
     "chunk extension": (
         OK + CHUNKED + b"\r\n1;",
--- a/tests/platform/bare_endpoint.py
+++ b/tests/platform/bare_endpoint.py
@@ -1,9 +1,10 @@
-"""Stand-in of an endpoint that answers with any bytes."""
+"""Stand-in of an endpoint that answers with any bytes, also without end."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from itertools import repeat
 
 from .conftest import LOOPBACK
 
@@ -16,6 +17,17 @@
     return lambda request_id: iter([answer.replace(b"{id}", request_id)])
 
 
+def send_without_end(start: bytes, piece: bytes) -> Pieces:
+    """Answer with a start and then with one piece again and again, until the other side closes."""
+
+    def generate(request_id: bytes) -> Iterator[bytes]:
+        yield start.replace(b"{id}", request_id)
+        # Large writes keep the connection filled.
+        yield from repeat(piece * (1 + 65536 // len(piece)))
+
+    return generate
+
+
 @dataclass
 class BareEndpoint:
     """An endpoint that writes pieces of bytes in answer to each request.
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,4 +1,4 @@
-"""Tests of answers of endpoints that are none by RFC 9110 and RFC 9112."""
+"""Tests of answers of endpoints that are none by RFC 9110 and 9112, or that have no end."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -9,7 +9,7 @@
 import pytest
 from aiohttp import ClientSession
 
-from .bare_endpoint import BareEndpoint, Pieces, send_once
+from .bare_endpoint import BareEndpoint, Pieces, send_once, send_without_end
 from .conftest import StandinEndpoint, StandinStore, full_response, stream_response
 from .test_programs import CONFIGURATION, Entry, start_program, write_settings
 from .test_stopping import Caller
@@ -18,6 +18,12 @@
 """Longest wait of a test for something that must happen."""
 
 TIMEOUT_MS = 3000
+MAX_GROWTH_BYTES = 64 * 2**20
+"""What one answer without end may add to a node's memory: a few buffers and a held answer."""
+
+MAX_SENT_BYTES = 16 * 2**20
+"""What an endpoint may send of it: the node's bounds, and what sockets hold on both sides."""
+
 FIELDS = b"X-Attempt-Id: {id}\r\nX-Response-Stamp: s1\r\n"
 LENGTH = b"Content-Length: 2\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -80,6 +86,13 @@
         return head + await caller.reader.readexactly(int(lines[b"content-length"]))
 
 
+def _measure_memory(entry: Entry) -> int:
+    """Return the bytes of a node's resident memory."""
+    status = Path(f"/proc/{entry.process.pid}/status").read_text()
+    line = next(each for each in status.splitlines() if each.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024
+
+
 BROKEN = {
     "status 000": b"HTTP/1.1 000 Zero\r\n" + FIELDS + LENGTH + b"\r\nok",
     "status 000, closing": (
@@ -133,6 +146,50 @@
     assert broken.received == ["r0", "r1"]
 
 
+ENDLESS_HEADS = {
+    "interim answers": send_without_end(b"", b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"),
+    "short interim answers": send_without_end(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "empty lines": send_without_end(b"", b"\r\n"),
+    "status line": send_without_end(b"HTTP/1.1 200 O", b"K"),
+    "status line without a version": send_without_end(b"", b"x"),
+    "fields": send_without_end(HEAD, b"X-Odd: 1\r\n"),
+    "value": send_without_end(HEAD + b"X-Odd: ", b"x"),
+    "chunk extension": send_without_end(HEAD + CHUNKED + b"\r\n2;x=", b"x"),
+    "trailer": send_without_end(HEAD + CHUNKED + b"\r\n0\r\n", b"X-Odd: 1\r\n"),
+}
+
+
+async def _watch_memory(entry: Entry, is_over: Callable[[], bool]) -> int:
+    """Return what a node's memory grows by until the answer is over, and see others served."""
+    before = most = _measure_memory(entry)
+    served = 0
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not is_over() or not served:
+            status, _ = await entry.send("/sound/x", headers={"X-Attempt-Id": f"s{served}"})
+            assert status == 200
+            served += 1
+            most = max(most, _measure_memory(entry))
+            await asyncio.sleep(0.01)
+    return most - before
+
+
+@pytest.mark.parametrize("pieces", ENDLESS_HEADS.values(), ids=ENDLESS_HEADS)
+async def test_framing_without_end_is_given_up(
+    stack: AsyncExitStack, start: Start, pieces: Pieces
+) -> None:
+    """Guards against bytes that are read, held or parsed for as long as they come."""
+    entry, broken, _ = await start(pieces)
+    caller = await Caller.open(stack, entry)
+    caller.send("/once/x", "r1")
+    assert await _watch_memory(entry, lambda: broken.closed > 0) < MAX_GROWTH_BYTES
+    assert broken.sent < MAX_SENT_BYTES
+    got = await _read_answer(caller)
+    assert got.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 200 "))
+    assert broken.received == ["r1"]
+
+
+MANY_FIELDS = b"".join(b"X-%d: 1\r\n" % number for number in range(90))
+
 VALID: dict[str, tuple[bytes, Any]] = {
     "interim answer": (
         b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + full_response(b"ok"),
