Keep an answer that has broken bytes behind it

What callers saw: 502 in place of a whole answer, when invalid bytes followed it in the same segment. A request that may run once had run, and its answer was thrown away.

Cause: the library's parser raises for the segment as a whole; the responses that it has found in it are lost with the error.

Change: a connection passes one response to the parser and stops at its end. What is behind waits: if the response was an extra one, the next one is read from it. Otherwise it belongs to no request (RFC 9112, section 9.2): the connection is not used again, and one on which bytes arrive while it is unused is closed at once, so that these need no memory.

Why it holds: the end of a response comes from its own framing, and nothing behind it is parsed before the response has been taken.

--- a/packages/wrenloft-core/src/wrenloft_core/_checked_connections.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_checked_connections.py
@@ -17,6 +17,17 @@
     ["reason"],
 )
 
+UNREQUESTED_BYTES = Counter(
+    "wrenloft_unrequested_bytes",
+    "Connections that were closed because of bytes that belong to no request",
+)
+
+_MAX_BEHIND_BYTES = 524288
+"""Bytes kept behind a response whose reader has not taken it yet: two reads from a socket. The
+response may be an extra one, with the response that is waited for behind it."""
+
+_EMPTY_LINES = b"\r\n"
+
 
 class InvalidResponseError(ClientError):
     """A response that can't be believed.
@@ -35,7 +46,11 @@
 
 
 class CheckedResponses(ResponseHandler):
-    """A connection whose parser gets valid responses only.
+    """A connection whose parser gets valid responses only, one for each request.
+
+    The library raises an error for the whole segment in which it finds invalid bytes, also behind
+    the end of a complete response. Here these wait until the response has been taken: they may be
+    the next response, if that one was an extra one, and otherwise the connection is closed.
 
     :param max_body_bytes: longest body, ``None`` if it is not bounded.
     """
@@ -43,27 +58,45 @@
     def __init__(self, loop: Any, max_body_bytes: int | None = None) -> None:
         super().__init__(loop)
         self._scanner = ResponseScanner(max_body_bytes)
+        self._behind = b""
         self._body: StreamReader | None = None
+        self._is_taken = True
         self._error: InvalidResponseError | None = None
 
     def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         self._scanner.expect(bodiless=skip_payload)
+        self._behind = b""
         super().set_response_params(skip_payload=skip_payload, **params)
 
     def expect_another(self) -> None:
         """Go on with the response behind the one that was read last, an extra one."""
         self._scanner.expect_another()
+        behind, self._behind = self._behind, b""
+        if behind:
+            self.data_received(behind)
 
     def data_received(self, data: bytes) -> None:
         if self._error is not None:
             return
+        if not self._scanner.is_expecting:
+            self._receive_behind(data)
+            return
         scanned = self._scanner.feed(data)
-        received = scanned.valid + scanned.behind
-        if received:
-            super().data_received(received)
+        # Set before the library gets the end of the response, and with it releases the connection.
+        self._behind = scanned.behind.lstrip(_EMPTY_LINES)
+        if scanned.valid:
+            super().data_received(scanned.valid)
         if scanned.invalid is not None:
             self._reject(scanned.invalid)
 
+    def _receive_behind(self, data: bytes) -> None:
+        """Keep bytes behind a response until it is taken; behind that, no request is waiting."""
+        self._behind += data if self._behind else data.lstrip(_EMPTY_LINES)
+        if not self._behind or (not self._is_taken and len(self._behind) <= _MAX_BEHIND_BYTES):
+            return
+        UNREQUESTED_BYTES.inc()
+        self.close()
+
     def _reject(self, invalid: InvalidResponse) -> None:
         """End a response that can't be read on, and the connection."""
         INVALID_RESPONSES.labels(invalid.reason.value).inc()
@@ -73,10 +106,20 @@
         self.set_exception(error)
         self.close()
 
+    @property
+    def should_close(self) -> bool:
+        return super().should_close or bool(self._behind)
+
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         self._body = data[1]
+        self._is_taken = False
         super().feed_data(data, size)
 
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        message = await super().read()
+        self._is_taken = True
+        return message
+
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
         super().set_exception(self._error or exc, *cause)
 
--- /dev/null
+++ b/packages/wrenloft-core/tests/test_checked_connections.py
@@ -0,0 +1,144 @@
+"""Tests of connections on which responses are checked."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import ClientError, ClientSession
+
+from wrenloft_core import CheckedConnector, InvalidResponseError
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+PATIENCE_SECONDS = 20.0
+
+
+def _respond(body: bytes) -> bytes:
+    return OK % (len(body), body)
+
+
+class Peer:
+    """Writes the next of its answers for each request.
+
+    :ivar connections: number of connections that were opened.
+    :ivar requests: number of requests.
+    """
+
+    def __init__(self, answers: list[bytes]) -> None:
+        self._answers = answers
+        self.connections = 0
+        self.requests = 0
+        self.address = ""
+        self.writer: asyncio.StreamWriter | None = None
+
+    @asynccontextmanager
+    async def listen(self) -> AsyncIterator["Peer"]:
+        """Listen on a port of its own."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writer = writer
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                writer.write(self._answers.pop(0))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+
+async def _wait_until(is_met: Callable[[], bool]) -> None:
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not is_met():
+            await asyncio.sleep(0.01)
+
+
+async def _get(session: ClientSession, peer: Peer) -> bytes:
+    async with session.get(f"http://{peer.address}/") as response:
+        return await response.read()
+
+
+@pytest.mark.parametrize("behind", [b"\x00\x01", _respond(b"extra"), b"HTTP/1.1 000 Zero\r\n\r\n"])
+async def test_connection_with_bytes_behind_a_response_is_not_used_again(behind: bytes) -> None:
+    """Guards against a response that the next request gets although it is not its own."""
+    answers = [_respond(b"first") + behind, _respond(b"second")]
+    async with (
+        Peer(answers).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+    ):
+        assert await _get(session, peer) == b"first"
+        assert await _get(session, peer) == b"second"
+        assert peer.connections == 2
+
+
+async def test_unused_connection_is_closed_by_unrequested_bytes() -> None:
+    """Guards against bytes without end that an unused connection keeps."""
+    async with (
+        Peer([_respond(b"first"), _respond(b"second")]).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+    ):
+        assert await _get(session, peer) == b"first"
+        writer = peer.writer
+        assert writer is not None
+        writer.write(b"HTTP/1.1 408 Request Timeout\r\n\r\n")
+        await _wait_until(writer.is_closing)
+        assert await _get(session, peer) == b"second"
+        assert peer.connections == 2
+
+
+async def test_empty_lines_behind_a_response_cost_no_connection() -> None:
+    """They may be left out (RFC 9112, section 9.2)."""
+    async with (
+        Peer([_respond(b"first") + b"\r\n", b"\r\n" + _respond(b"second")]).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+    ):
+        assert await _get(session, peer) == b"first"
+        assert await _get(session, peer) == b"second"
+        assert peer.connections == 1
+
+
+async def test_response_read_late_is_whole_in_spite_of_bytes_behind_it() -> None:
+    """Guards against the loss of what has arrived when its connection is closed."""
+    body = bytes(range(256)) * 1000
+    async with (
+        Peer([_respond(body)]).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+        session.get(f"http://{peer.address}/") as response,
+    ):
+        assert peer.writer is not None
+        peer.writer.write(b"\x00" * 1000)
+        await _wait_until(peer.writer.is_closing)
+        assert await response.read() == body
+
+
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 11\r\n", b"Transfer-Encoding: chunked\r\n", b""]
+)
+async def test_body_above_the_bound_is_an_error(framing: bytes) -> None:
+    """Guards against a body that is held without a bound, or cut and taken for whole."""
+    data = b"b\r\nxxxxxxxxxxx\r\n0\r\n\r\n" if b"chunked" in framing else 11 * b"x"
+    async with (
+        Peer([b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + data]).listen() as peer,
+        ClientSession(connector=CheckedConnector(max_body_bytes=10)) as session,
+    ):
+        with pytest.raises(InvalidResponseError, match="body too long"):
+            await _get(session, peer)
+
+
+async def test_invalid_response_names_nothing_of_itself() -> None:
+    """Guards against errors that quote a peer to whom they are passed on."""
+    async with (
+        Peer([b"HTTP/1.1 000 Secret\r\n\r\n"]).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+    ):
+        with pytest.raises(ClientError) as raised:
+            await _get(session, peer)
+        assert str(raised.value) == "invalid status line"
+        assert "Secret" in repr(raised.value)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -130,6 +130,22 @@
     assert (await _read_answer(caller)).startswith(b"HTTP/1.1 200 ")
 
 
+async def test_broken_bytes_behind_an_answer_leave_it_whole(
+    stack: AsyncExitStack, start: Start
+) -> None:
+    """Guards against a failure in place of an answer that the endpoint gave to its end."""
+    entry, broken, _ = await start(
+        send_once(full_response(b"whole") + b"\x00\x01no answer\r\n\r\n")
+    )
+    caller = await Caller.open(stack, entry)
+    for number in range(3):
+        caller.send("/once/x", f"r{number}")
+        got = await _read_answer(caller)
+        assert got.startswith(b"HTTP/1.1 200 ")
+        assert got.endswith(b"\r\n\r\nwhole")
+    assert broken.received == ["r0", "r1", "r2"]
+
+
 async def test_extra_broken_answer_with_the_id_of_the_waiting_request(
     stack: AsyncExitStack, start: Start
 ) -> None:
@@ -156,6 +172,7 @@
     "value": send_without_end(HEAD + b"X-Odd: ", b"x"),
     "chunk extension": send_without_end(HEAD + CHUNKED + b"\r\n2;x=", b"x"),
     "trailer": send_without_end(HEAD + CHUNKED + b"\r\n0\r\n", b"X-Odd: 1\r\n"),
+    "bytes behind an answer": send_without_end(full_response(b"ok"), b"\x00"),
 }
 
 
