Pass the library's own calls through to its parser

Cause: when a reader falls behind, the library's parser holds bytes back, and the library lets it go on by a call with no bytes. The check passed on only what the scanner had found in new bytes, so that this call was lost, and with it the last part of the answer.

Change: a call without bytes goes to the parser. For the same reason a connection isn't closed for bytes behind a response of which the parser still holds a part; beyond a bound these are dropped, and the next response can't be read from it.

--- a/packages/wrenloft-core/src/wrenloft_core/_checked_connections.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_checked_connections.py
@@ -60,6 +60,7 @@
         self._scanner = ResponseScanner(max_body_bytes)
         self._behind = b""
         self._body: StreamReader | None = None
+        self._is_overrun = False
         self._is_taken = True
         self._error: InvalidResponseError | None = None
 
@@ -70,6 +71,9 @@
 
     def expect_another(self) -> None:
         """Go on with the response behind the one that was read last, an extra one."""
+        if self._is_overrun:
+            self._reject(InvalidResponse(InvalidReason.OVERRUN))
+            return
         self._scanner.expect_another()
         behind, self._behind = self._behind, b""
         if behind:
@@ -78,6 +82,9 @@
     def data_received(self, data: bytes) -> None:
         if self._error is not None:
             return
+        if not data:
+            super().data_received(data)  # the library goes on with what it held back
+            return
         if not self._scanner.is_expecting:
             self._receive_behind(data)
             return
@@ -92,10 +99,16 @@
     def _receive_behind(self, data: bytes) -> None:
         """Keep bytes behind a response until it is taken; behind that, no request is waiting."""
         self._behind += data if self._behind else data.lstrip(_EMPTY_LINES)
-        if not self._behind or (not self._is_taken and len(self._behind) <= _MAX_BEHIND_BYTES):
+        if not self._behind:
             return
-        UNREQUESTED_BYTES.inc()
-        self.close()
+        is_too_much = len(self._behind) > _MAX_BEHIND_BYTES
+        if self._body is not None and not self._body.is_eof():
+            # The library holds back the rest of the response, which a close would take away.
+            self._is_overrun = self._is_overrun or is_too_much
+            self._behind = self._behind[:_MAX_BEHIND_BYTES]
+        elif self._is_taken or is_too_much:
+            UNREQUESTED_BYTES.inc()
+            self.close()
 
     def _reject(self, invalid: InvalidResponse) -> None:
         """End a response that can't be read on, and the connection."""
--- a/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
@@ -54,6 +54,7 @@
     TRAILER = "invalid trailer"
     HEAD_TOO_LONG = "head too long"
     BODY_TOO_LONG = "body too long"
+    OVERRUN = "too much behind an extra response"
 
 
 @dataclass(frozen=True, slots=True)
