Name the failure of an endpoint, not the endpoint, to callers

What callers saw: a 502 whose body quoted the endpoint's address, the path there and up to 100 bytes of what it had sent; a 503 with the address of an endpoint that refused connections.

Cause: the reason of a failed attempt was the text of the library's error, and the reason of the last attempt is the body of the failure.

--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -6,6 +6,7 @@
     InvalidResponseError,
 )
 from wrenloft_core._chunks import Manifest, build_manifest, digest_bytes
+from wrenloft_core._client_errors import describe_client_error, name_client_error
 from wrenloft_core._clock import read_clock
 from wrenloft_core._configuration import (
     Configuration,
@@ -109,6 +110,7 @@
     "WrenloftError",
     "build_manifest",
     "check_configuration",
+    "describe_client_error",
     "digest_bytes",
     "hash_key",
     "join_sections",
@@ -117,6 +119,7 @@
     "make_request_id",
     "matches_digest",
     "matches_secret",
+    "name_client_error",
     "name_model",
     "name_request",
     "note",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_attempts.py
@@ -50,9 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BrokenAnswer:
-    """An answer that is no stream and can't be completed."""
+    """An answer that is no stream and can't be completed.
+
+    :param reason: may be told to the caller.
+    :param detail: for logs.
+    """
 
     reason: str
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,7 +287,7 @@
     except AnswerShortageError as error:
         return AnswerTooLarge(str(error))
     except ReplyBrokenError as error:
-        return BrokenAnswer(str(error))
+        return BrokenAnswer(str(error), error.detail)
 
 
 async def wait_alone(attempt: AttemptProgress, seconds: float) -> Result | None:
--- a/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_exchange.py
@@ -89,9 +89,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request left this host."""
+    """No byte of the request left this host.
+
+    :param reason: may be told to the caller.
+    :param detail: for logs.
+    """
 
     reason: str
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,17 +121,29 @@
 class Lost:
     """The request was sent, and it is unknown whether it ran.
 
+    :param reason: may be told to the caller.
     :param at_fault: whether the endpoint counts as failed.
     :param silent: whether it was detected by a timeout, and so perhaps long after the failure.
+    :param detail: for logs.
     """
 
     reason: str
     at_fault: bool = True
     silent: bool = False
+    detail: str = ""
 
 
 class ReplyBrokenError(Exception):
-    """An answer ended before it was complete."""
+    """An answer ended before it was complete.
+
+    Its text may be told to the caller.
+
+    :ivar detail: for logs.
+    """
+
+    def __init__(self, reason: str, detail: str = "") -> None:
+        super().__init__(reason)
+        self.detail = detail
 
 
 class Reply(Protocol):
--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -589,6 +589,7 @@
             endpoint=attempt.peer,
             result=type(result).__name__,
             reason=result.reason,
+            detail="" if isinstance(result, Rejected) else result.detail,
             ms=round((read_clock() - attempt.running.sent_at) * 1000),
         )
         at_fault = self._find_at_fault(state, result)
@@ -967,7 +968,7 @@
             return Unknown("read", f"memory: {result.reason}", attempt.peer)
         if isinstance(result, BrokenAnswer):
             reason = f"answer broke off: {result.reason}"
-            return await self._discard_reply(progress, attempts, attempt, reason)
+            return await self._discard_reply(progress, attempts, attempt, reason, result.detail)
         if not reply.framed and await self._detector.has_ended(attempt.state):
             reason = "endpoint ended with its answer"
             return await self._discard_reply(progress, attempts, attempt, reason)
@@ -1017,8 +1018,12 @@
         attempts: OpenAttempts,
         attempt: AttemptProgress,
         reason: str,
+        detail: str = "",
     ) -> Outcome | None:
-        """Drop an attempt whose answer is invalid or broke off."""
+        """Drop an attempt whose answer is invalid or broke off.
+
+        :param detail: for the log.
+        """
         ATTEMPTS.labels("broken").inc()
         note(
             _LOG,
@@ -1026,6 +1031,7 @@
             request=progress.request.request_id,
             endpoint=attempt.peer,
             reason=reason,
+            detail=detail,
         )
         progress.tried.add(attempt.peer)
         self._record_loss(attempt, silent=False)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,7 +1,7 @@
 """Tests of answers of endpoints that are none by RFC 9110 and 9112, or that have no end."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -30,17 +30,21 @@
 HEAD = b"HTTP/1.1 200 OK\r\n" + FIELDS
 
 Node = tuple[Entry, BareEndpoint, StandinEndpoint]
-Start = Callable[[Pieces], Awaitable[Node]]
+Start = Callable[..., Awaitable[Node]]
 
 
 @pytest.fixture
 def start(
     stack: AsyncExitStack, store: StandinStore, endpoint: StandinEndpoint, tmp_path: Path
 ) -> Start:
-    """Start an entry node with a broken endpoint and, for another service, a sound one."""
+    """Start an entry node with a broken endpoint and, for another service, a sound one.
 
-    async def start_node(pieces: Pieces) -> Node:
-        broken = BareEndpoint(send_once(full_response(b"ok")))
+    Unless a connection is to be kept, the broken answer comes on a new one.
+    """
+
+    async def start_node(pieces: Pieces, *, is_kept: bool = True) -> Node:
+        closing = b"" if is_kept else b"Connection: close\r\n"
+        broken = BareEndpoint(send_once(full_response(b"ok", extra=closing)))
         await stack.enter_async_context(broken.listen())
         once, stream = CONFIGURATION["routes"]
         common = {"public": True, "timeoutMs": TIMEOUT_MS}
@@ -109,15 +113,16 @@
 }
 
 
+@pytest.mark.parametrize("is_kept", [True, False], ids=["kept", "new"])
 @pytest.mark.parametrize("answer", BROKEN.values(), ids=BROKEN)
 async def test_broken_answer_reaches_no_caller(
-    stack: AsyncExitStack, start: Start, answer: bytes
+    stack: AsyncExitStack, start: Start, answer: bytes, is_kept: bool
 ) -> None:
     """Guards against bytes that are no answer at callers, and against a second run.
 
     The request may have run, so that the failure may not claim otherwise.
     """
-    entry, broken, _ = await start(send_once(answer))
+    entry, broken, _ = await start(send_once(answer), is_kept=is_kept)
     caller = await Caller.open(stack, entry)
     caller.send("/once/x", "r1")
     got = await _read_answer(caller)
@@ -146,6 +151,44 @@
     assert broken.received == ["r0", "r1", "r2"]
 
 
+def _send_and_close(answer: bytes) -> Pieces:
+    """Answer with these bytes and close the connection."""
+
+    def generate(request_id: bytes) -> Iterator[bytes]:
+        yield answer.replace(b"{id}", request_id)
+        raise ConnectionResetError
+
+    return generate
+
+
+FAILURES = {
+    "closed before an answer": _send_and_close(b""),
+    "closed in the head": _send_and_close(HEAD),
+    "closed in the body": _send_and_close(HEAD + LENGTH + b"\r\no"),
+    "closed between chunks": _send_and_close(HEAD + CHUNKED + b"\r\n2\r\nok\r\n"),
+    "invalid chunk": send_once(HEAD + CHUNKED + b"\r\nodd\r\n"),
+    "too many fields": send_once(HEAD + 2000 * b"X-Odd: 1\r\n" + LENGTH + b"\r\nok"),
+    "too long a field": send_once(
+        HEAD + b"X-Odd: " + 140_000 * b"x" + b"\r\n" + LENGTH + b"\r\nok"
+    ),
+}
+
+
+@pytest.mark.parametrize("pieces", FAILURES.values(), ids=FAILURES)
+async def test_failure_names_nothing_of_the_endpoint(
+    stack: AsyncExitStack, start: Start, pieces: Pieces
+) -> None:
+    """Guards against failures that quote addresses, paths and bytes of endpoints."""
+    entry, broken, _ = await start(pieces, is_kept=False)
+    caller = await Caller.open(stack, entry)
+    caller.send("/once/x", "r1")
+    got = await _read_answer(caller)
+    assert got.startswith(b"HTTP/1.1 502 ")
+    body = got.partition(b"\r\n\r\n")[2]
+    for secret in (broken.address, broken.address.partition(":")[2], "/once/", "odd", "Errno"):
+        assert secret.encode() not in body.lower()
+
+
 async def test_extra_broken_answer_with_the_id_of_the_waiting_request(
     stack: AsyncExitStack, start: Start
 ) -> None:
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -116,6 +116,8 @@
         """A request of any kind can be sent elsewhere if the connection was refused."""
         result = await RunnerTransport(session).open(_attempt("127.0.0.1:9"))
         assert isinstance(result, NotSent)
+        assert "127.0.0.1" not in result.reason
+        assert "127.0.0.1" in result.detail
 
     @pytest.mark.parametrize("method", ["GET", "POST", "PUT", "DELETE"])
     async def test_request_on_a_closed_kept_alive_connection_is_sent_once(
