Bound an event of a stream where no memory is stated

What callers saw: nothing of theirs; a node grew by 73 MiB in 3 s from one stream whose event has no end, and more slowly the longer it got.

Cause: an event is held until it is whole, as only whole ones are forwarded. Its bound is that of the connection, and without the contract that states memory there is none. Each part was also searched, and copied, together with all before it.

Change: a stream with an event of more than 16 MiB counts as broken off. Only new bytes are searched.

Why it holds: what is held of an event is counted in one place, whatever the framing.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_events.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_events.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -31,10 +31,12 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that are complete now."""
+        searched = max(0, len(self._rest) - len(_END) + 1)
         self._rest += data
-        if _END not in self._rest:
+        if self._rest.find(_END, searched) < 0:
             return []
-        *whole, self._rest = self._rest.split(_END)
+        *whole, rest = bytes(self._rest).split(_END)
+        self._rest = bytearray(rest)
         return [Event(each + _END, _read_number(each)) for each in whole]
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_streams.py
@@ -14,6 +14,10 @@
 writes within twice the objective; callers leave after eight times the objective at the earliest."""
 
 
+MAX_EVENT_BYTES = 16 * 2**20
+"""Longest event, as it is only forwarded whole. A stream with a longer one counts as broken off."""
+
+
 class StreamEnd(Enum):
     """How a stream from one endpoint ended."""
 
@@ -48,7 +52,7 @@
 
     :param on_data: called whenever bytes arrive.
     :param held: counts the parts of an event until it is whole; a stream with an event beyond the
-        bound of a connection counts as broken off.
+        bound of a connection, or beyond the longest event, counts as broken off.
     """
 
     def __init__(
@@ -82,7 +86,8 @@
                 self.release()
                 return events
             self._partial_bytes += len(data)
-            if not self._held.add(len(data)):
+            is_held = self._held.add(len(data))
+            if not is_held or self._partial_bytes > MAX_EVENT_BYTES:
                 return StreamEnd.BROKEN
 
     def release(self) -> None:
