Forward a whole answer beyond 16 MiB as it arrives

What callers saw: one answer whose body has no end, in chunks or without a length, fills a node with 2 to 5 GB within the 3 s of its request, so that the host may kill it with all that it serves.

Cause: whole answers are held so that another endpoint can give them; where no memory is stated, as in the deployments without that contract, nothing bounds what is held.

Change: beyond 16 MiB an answer is forwarded as it arrives, as it is where memory is stated and short: the caller's pace then bounds what is read. Callers of HTTP/1.0 get it up to the end of the connection.

Measured: 6 of 8 cases of test_body_without_end_is_not_held failed before (2.0 GB in chunks, 4.7 and 5.3 GB without a length, 75 MB of events), with requests at the sound endpoint served; all pass.

Why it holds: an answer up to the bound is treated as before; a longer one is never refused, only no longer replaced by another attempt once it is begun. One that never ends is cut at its request's deadline and doesn't look complete.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_answers.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_answers.py
@@ -16,6 +16,11 @@
 )
 
 
+MAX_HELD_BYTES = 16 * 2**20
+"""Most bytes of an answer that are held, however much memory there is. Nothing else bounds one
+without an end, which may come at a gigabyte a second, where no memory is stated."""
+
+
 class AnswerShortageError(Exception):
     """There is no memory for an answer, and it can't be forwarded as it arrives."""
 
@@ -30,9 +35,9 @@
     progress: RequestProgress,
     claim: Callable[[], Awaitable[None]] = _claim_nothing,
 ) -> bytes | None:
-    """Read an answer whole, or forward it as it arrives where there is no memory for it.
+    """Read an answer whole, or forward it as it arrives where it is too long to be held.
 
-    As long as there is, it is held: the endpoint is free however slowly the caller reads, and
+    Up to then it is held: the endpoint is free however slowly the caller reads, and
     another one can give the answer if this one breaks off. Once it is begun, none can.
 
     :param claim: called before the answer is begun; ends the request's other attempts.
@@ -41,10 +46,9 @@
     :raises AnswerShortageError: if there is no memory for it.
     """
     held = progress.request.held
-    if not held.is_bounded:
-        return await reply.read_whole()
     parts = []
     reserved = 0
+    shortage = None
     with ExitStack() as stack:
         # Another attempt of this request may reserve at the same time.
         stack.callback(lambda: held.resize(held.size - reserved))
@@ -54,10 +58,12 @@
             if shortage is not None:
                 break
             reserved += len(part)
+            if reserved > MAX_HELD_BYTES:
+                break
         else:
             stack.pop_all()
             return b"".join(parts)
-    if not progress.request.takes_chunks:
+    if shortage is not None and not progress.request.takes_chunks:
         ANSWERS.labels("ended").inc()
         raise AnswerShortageError(str(shortage))
     await claim()
--- a/packages/wrenloft-routing/tests/test_answers.py
+++ b/packages/wrenloft-routing/tests/test_answers.py
@@ -5,12 +5,13 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wrenloft_policy import MemoryLimits
 from wrenloft_routing import AnswerSink, Headers, MemoryBudget, Reply, ReplyBrokenError
-from wrenloft_routing._answers import AnswerShortageError, relay_answer
+from wrenloft_routing._answers import MAX_HELD_BYTES, AnswerShortageError, relay_answer
 
 LIMITS = MemoryLimits(total=1000, connection=400, new_work=750)
 REQUEST_BYTES = 50
@@ -96,11 +97,19 @@
 def test_answer_is_only_read_where_nothing_is_bounded() -> None:
     """Guards against answers that are begun early in deployments that state no memory."""
     recorder = Recorder([b"x" * 10_000_000], breaks=False)
-
-    async def read_whole() -> bytes:
-        return await recorder.read_some()
-
-    cast(Any, recorder).read_whole = read_whole
     result, progress = _relay(MemoryBudget(), recorder, MemoryBudget().open(), True)
     assert len(result) == 10_000_000
     assert not progress.answer_begun
+
+
+@pytest.mark.parametrize("takes_chunks", [True, False])
+def test_answer_without_end_is_not_held_where_nothing_is_bounded(takes_chunks: bool) -> None:
+    """Guards against an answer that fills the host's memory until its request's time is up."""
+    part = b"x" * 1_000_000
+    count = MAX_HELD_BYTES // len(part) + 4
+    recorder = Recorder([part] * count, breaks=True)
+    result, progress = _relay(MemoryBudget(), recorder, MemoryBudget().open(), takes_chunks)
+    assert isinstance(result, ReplyBrokenError)
+    assert progress.answer_begun
+    assert recorder.body == part * count
+    assert recorder.calls.count("write") > 1
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -27,6 +27,7 @@
 FIELDS = b"X-Attempt-Id: {id}\r\nX-Response-Stamp: s1\r\n"
 LENGTH = b"Content-Length: 2\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
+EVENTS = b"Content-Type: text/event-stream\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n" + FIELDS
 
 Node = tuple[Entry, BareEndpoint, StandinEndpoint]
@@ -219,6 +220,14 @@
 }
 
 
+ENDLESS_BODIES = {
+    "chunks": send_without_end(HEAD + CHUNKED + b"\r\n", b"1000\r\n" + 4096 * b"x" + b"\r\n"),
+    "no length": send_without_end(HEAD + b"\r\n", b"x"),
+    "event": send_without_end(HEAD + EVENTS + b"\r\ndata: ", b"x"),
+    "events": send_without_end(HEAD + EVENTS + b"\r\n", b"data: x\n\n"),
+}
+
+
 async def _watch_memory(entry: Entry, is_over: Callable[[], bool]) -> int:
     """Return what a node's memory grows by until the answer is over, and see others served."""
     before = most = _measure_memory(entry)
@@ -248,6 +257,43 @@
     assert broken.received == ["r1"]
 
 
+MANY_FIELDS = b"".join(b"X-%d: 1\r\n" % number for number in range(90))
+
+
+async def _take(caller: Caller) -> tuple[bytes, bytes]:
+    """Read an answer to its end, or a failure; return its first and its last bytes."""
+    first = last = await caller.reader.read(65536)
+    while last and not first.startswith(b"HTTP/1.1 50"):
+        try:
+            data = await caller.reader.read(65536)
+        except ConnectionResetError:
+            break
+        if not data:
+            break
+        last = last[-5:] + data
+    return first, last
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
+@pytest.mark.parametrize("pieces", ENDLESS_BODIES.values(), ids=ENDLESS_BODIES)
+async def test_body_without_end_is_not_held(
+    stack: AsyncExitStack, start: Start, pieces: Pieces, path: str
+) -> None:
+    """Guards against a body that fills a node's memory before its request's time is up."""
+    entry, broken, _ = await start(pieces)
+    caller = await Caller.open(stack, entry)
+    caller.send(path, "r1")
+    taking = asyncio.create_task(_take(caller))
+    stack.callback(taking.cancel)
+    growth = await _watch_memory(entry, lambda: broken.closed > 0)
+    assert growth < MAX_GROWTH_BYTES
+    assert broken.received == ["r1"]
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        first, last = await taking
+    assert first.startswith((b"HTTP/1.1 200 ", b"HTTP/1.1 502 ", b"HTTP/1.1 504 "))
+    assert first.startswith(b"HTTP/1.1 50") or not last.endswith(b"0\r\n\r\n")
+
+
 MANY_FIELDS = b"".join(b"X-%d: 1\r\n" % number for number in range(90))
 
 VALID: dict[str, tuple[bytes, Any]] = {
