--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -303,6 +303,7 @@
     ),
     "status 599": (full_response(b"ok", "599 Odd"), b"ok"),
     "no reason": (full_response(b"ok", "200"), b"ok"),
+    "bytes above ASCII": (full_response(b"ok", extra=b"X-Odd: caf\xe9 \xc3\xa9\tx\r\n"), b"ok"),
     "chunk extension": (
         HEAD + b'Transfer-Encoding: chunked\r\n\r\n2;a="b"\r\nok\r\n0\r\nX-T: 1\r\n\r\n',
         b"ok",
@@ -341,3 +342,19 @@
     assert rest.startswith(b"HTTP/1.1 200 ")
     assert b"id: 0\n\n" in rest
     assert not rest.endswith(b"0\r\n\r\n")
+
+
+async def test_head_of_a_stream_keeps_bytes_above_ascii(
+    stack: AsyncExitStack, start: Start
+) -> None:
+    """Guards against bytes that are left out of a head which is sent before its body."""
+    line = b"X-Odd: caf\xe9 \xc3\xa9\r\n"
+    stream = stream_response(b"id: 0\n\n").replace(EVENTS, EVENTS + line)
+    entry, _, _ = await start(send_once(stream))
+    caller = await Caller.open(stack, entry)
+    caller.send("/stream/x", "r1")
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        body = await caller.reader.readuntil(b"0\r\n\r\n")
+    assert line in head
+    assert body.endswith(b"7\r\nid: 0\n\n\r\n0\r\n\r\n")
