--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -58,12 +58,14 @@
 from wrenloft_core._logs import BoundedHandler, log_decision, note, set_up_logs, warn
 from wrenloft_core._outcomes import Done, NotRun, Outcome, Priority, Unknown
 from wrenloft_core._pacing import Pacer
+from wrenloft_core._response_framing import MAX_HEAD_BYTES
 from wrenloft_core._secrets import hash_key, matches_digest, matches_secret
 from wrenloft_core._settings import read_settings, structure_settings
 from wrenloft_core._signals import Signal
 
 __all__ = [
     "COUNTS_SECONDS",
+    "MAX_HEAD_BYTES",
     "AgentId",
     "BoundedHandler",
     "CheckedConnector",
