Check the answers of the store, engines, agents and other nodes

Each of these sessions had the library's own connections, with its lenient parser and interim responses without a bound.

What callers saw: nothing of these.

--- a/packages/wrenloft-agent/src/wrenloft_agent/_sessions.py
+++ b/packages/wrenloft-agent/src/wrenloft_agent/_sessions.py
@@ -1,6 +1,8 @@
 """The HTTP session that an agent uses for everything that it asks of others."""
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientSession, ClientTimeout
+
+from wrenloft_core import CheckedConnector
 
 _CONNECT_SECONDS = 2.0
 _KEEP_ALIVE_SECONDS = 30.0
@@ -14,7 +16,7 @@
     is no public switch for it; the library's own test client sets the same attribute.
     """
     session = ClientSession(
-        connector=TCPConnector(limit=0, keepalive_timeout=_KEEP_ALIVE_SECONDS),
+        connector=CheckedConnector(keepalive_seconds=_KEEP_ALIVE_SECONDS),
         timeout=ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS),
         auto_decompress=False,
     )
--- a/packages/wrenloft/src/wrenloft/_node.py
+++ b/packages/wrenloft/src/wrenloft/_node.py
@@ -9,7 +9,7 @@
 from random import Random
 
 import grpc
-from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from aiohttp import ClientSession, ClientTimeout, web
 from aiohttp.typedefs import Handler
 from prometheus_client import generate_latest
 
@@ -27,7 +27,7 @@
     RequestRegistry,
     Shards,
 )
-from wrenloft_core import NodeId, PlaceName, RegionName
+from wrenloft_core import CheckedConnector, NodeId, PlaceName, RegionName
 from wrenloft_messages import messages, services
 
 _LOG = logging.getLogger(__name__)
@@ -301,7 +301,7 @@
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(
             ClientSession(
-                connector=TCPConnector(limit=0, keepalive_timeout=30),
+                connector=CheckedConnector(keepalive_seconds=30.0),
                 timeout=ClientTimeout(total=None, sock_connect=2.0),
                 auto_decompress=False,
             )
--- a/packages/wrenloft/src/wrenloft/operators/_client.py
+++ b/packages/wrenloft/src/wrenloft/operators/_client.py
@@ -5,6 +5,8 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from wrenloft_core import CheckedConnector
+
 _TIMEOUT = 30.0
 
 
@@ -48,7 +50,9 @@
         timeout = ClientTimeout(total=_TIMEOUT)
         try:
             async with (
-                ClientSession(headers=self._headers, timeout=timeout) as session,
+                ClientSession(
+                    connector=CheckedConnector(), headers=self._headers, timeout=timeout
+                ) as session,
                 session.request(method, f"{self._base}/{path}", json=fields) as response,
             ):
                 answer: dict[str, Any] = await response.json()
