Take undecodable documents of other processes for no answer

What callers saw: the node that they were connected to ended. An answer of the store that is JSON of another shape (a number, items of other types, a revision of 1e400, nesting of 200,000) ended the task that reads the store, and with "background task failed; stopping the node" the entry node, at each start again. The agent ended of the same answers.

Cause: only the reading of JSON was guarded, not what is taken from it, and not against RecursionError or OverflowError.

Why it holds: whatever a decoder raises for odd bytes is a failed call, which each caller handles.

--- a/packages/wrenloft-core/src/wrenloft_core/__init__.py
+++ b/packages/wrenloft-core/src/wrenloft_core/__init__.py
@@ -1,5 +1,6 @@
 """Ids, outcomes, configuration and manifests shared by wrenloft's programs."""
 
+from wrenloft_core._answer_bodies import DECODE_ERRORS, read_body, read_json
 from wrenloft_core._checked_connections import (
     CheckedConnector,
     CheckedResponses,
@@ -65,6 +66,7 @@
 
 __all__ = [
     "COUNTS_SECONDS",
+    "DECODE_ERRORS",
     "MAX_HEAD_BYTES",
     "AgentId",
     "BoundedHandler",
@@ -127,8 +129,10 @@
     "note",
     "parse_configuration",
     "pick_shard",
+    "read_body",
     "read_clock",
     "read_counts",
+    "read_json",
     "read_settings",
     "set_up_logs",
     "split_sections",
--- a/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_frames.py
@@ -10,7 +10,15 @@
 from math import isfinite
 from typing import Any
 
-from wrenloft_core import AgentId, ContentId, IncarnationId, NodeId, SegmentId, ServiceName
+from wrenloft_core import (
+    DECODE_ERRORS,
+    AgentId,
+    ContentId,
+    IncarnationId,
+    NodeId,
+    SegmentId,
+    ServiceName,
+)
 from wrenloft_policy import (
     CrashStatus,
     LayerSpan,
@@ -141,7 +149,7 @@
     """
     try:
         return _decode_fields(json.loads(line))
-    except (KeyError, TypeError, AttributeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"line is not a frame: {error!r}") from error
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
@@ -10,7 +10,15 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from prometheus_client import Counter
 
-from wrenloft_core import IncarnationId, NodeId, PlaceName, note, read_clock
+from wrenloft_core import (
+    DECODE_ERRORS,
+    IncarnationId,
+    NodeId,
+    PlaceName,
+    note,
+    read_clock,
+    read_json,
+)
 from wrenloft_policy import ColdAllowance, Coldness, RateLimit
 from wrenloft_routing._endpoints import Denial, Endpoints, EndpointState
 from wrenloft_routing._frames import decode_limit, encode_limit
@@ -27,6 +35,9 @@
 
 NO_LIMIT = RateLimit(None)
 
+_MAX_GRANT_BYTES = 65536
+"""Longest answer of a limiter; it has three fields."""
+
 GRANT_TIMEOUT_SECONDS = 0.1
 """Longest wait for a limiter's answer; one in another region answers in a tenth of this."""
 
@@ -105,7 +116,7 @@
                 timeout=ClientTimeout(total=GRANT_TIMEOUT_SECONDS),
             ) as response:
                 response.raise_for_status()
-                return decode_grant(await response.json())
+                return decode_grant(await read_json(response, _MAX_GRANT_BYTES))
         except (ClientError, OSError, TimeoutError, ValueError) as error:
             GRANTS.labels("unanswered").inc()
             reason = str(error) or type(error).__name__
@@ -172,6 +183,9 @@
     """
     try:
         granted = bool(fields["granted"])
-        return Grant(granted, float(fields["ask_again"]), float(fields["turn"]))
-    except (KeyError, TypeError) as error:
+        ask_again, turn = float(fields["ask_again"]), float(fields["turn"])
+        if not (isfinite(ask_again) and isfinite(turn)):
+            raise ValueError("time is not finite")
+        return Grant(granted, ask_again, turn)
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed answer to grant request: {error!r}") from error
--- a/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_load_streams.py
@@ -9,7 +9,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
-from wrenloft_core import AgentId, ServiceName, note, read_clock
+from wrenloft_core import DECODE_ERRORS, AgentId, ServiceName, note, read_clock
 from wrenloft_policy import compute_frame_interval
 from wrenloft_routing._cold_ledger import ColdUpdates
 from wrenloft_routing._crash_ledger import CrashLedger, CrashUpdates
@@ -215,7 +215,7 @@
         cold = decode_cold(further.get("cold", []))
         segment_crashes = decode_segment_crashes(further.get("segments", {}))
         return NodeUpdate(bool(ready), load, crashes, limits, departures, cold, segment_crashes)
-    except (TypeError, AttributeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"line is not a load update: {error!r}") from error
 
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_report_streams.py
@@ -7,7 +7,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from wrenloft_core import note, read_clock
+from wrenloft_core import DECODE_ERRORS, note, read_clock
 from wrenloft_policy import LayerSpan
 from wrenloft_routing._endpoints import Endpoints, EngineReport
 from wrenloft_routing._metrics import MESSAGES
@@ -73,7 +73,7 @@
                     if not received and not known:
                         note(_LOG, "agent connected", agent=agent.address)
                     received = True
-        except (ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
+        except (ClientError, OSError, TimeoutError, *DECODE_ERRORS) as error:
             return received, repr(error)
         return received, "ended"
 
--- a/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_store_snapshots.py
@@ -10,7 +10,14 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from blake3 import blake3
 
-from wrenloft_core import PlatformUnavailableError, Signal, note, read_clock
+from wrenloft_core import (
+    DECODE_ERRORS,
+    PlatformUnavailableError,
+    Signal,
+    note,
+    read_clock,
+    read_json,
+)
 from wrenloft_policy import (
     DIRECT_READ_INTERVALS,
     compute_max_snapshot_age,
@@ -22,6 +29,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+MAX_SNAPSHOT_BYTES = 8388608
+"""Longest answer with another node's snapshot, deflated; 3,000 entries are a megabyte inflated."""
+
 PEER_TIMEOUT_SECONDS = 0.4
 
 RETRY_DELAY_SECONDS = 0.15
@@ -267,12 +277,12 @@
             async with self._session.get(url, params={"known": known}, timeout=timeout) as answer:
                 if answer.status != 200:
                     return
-                fields = await answer.json()
+                fields = await read_json(answer, MAX_SNAPSHOT_BYTES)
             snapshot = _decode(fields, self.latest)
             received = ReceivedSnapshot(
                 snapshot, begun - float(fields["age"]), bool(fields["trusted"])
             )
-        except (ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
+        except (ClientError, OSError, TimeoutError, *DECODE_ERRORS) as error:
             note(
                 _LOG,
                 "store snapshot not received",
--- a/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
+++ b/packages/wrenloft-swarm/src/wrenloft_swarm/_neighbours.py
@@ -8,7 +8,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from blake3 import blake3
 
-from wrenloft_core import PlatformUnavailableError, read_clock
+from wrenloft_core import DECODE_ERRORS, PlatformUnavailableError, read_body, read_clock
 from wrenloft_swarm._chunk_store import VersionName
 from wrenloft_swarm._ports import Neighbour, Urgency
 
@@ -21,6 +21,10 @@
 CHUNK_TIMEOUT_SECONDS = 2.0
 """Timeout of a chunk from a neighbour: it takes 54 ms alone, and 0.5 s beside seven more."""
 
+MAX_CHUNK_BYTES = 33554432
+"""Longest body of an answer with a chunk or digests. A chunk takes a part of a second on a link, so
+that it has a few megabytes."""
+
 DIGESTS_TIMEOUT_SECONDS = 1.0
 BUSY_SECONDS = 0.1
 """Time for which a neighbour with all upload slots in use is skipped: it sends two chunks in it."""
@@ -155,9 +159,9 @@
     url = f"http://{address}/digests/{name.model}/{name.number}"
     data = await _read(session, url, DIGESTS_TIMEOUT_SECONDS, "fetch-digests", address)
     try:
-        return tuple(json.loads(data)["digests"])
-    except (ValueError, KeyError, TypeError) as error:
-        raise PlatformUnavailableError(str(error), step="fetch-digests", peer=address) from error
+        return tuple(str(each) for each in json.loads(data)["digests"])
+    except DECODE_ERRORS as error:
+        raise PlatformUnavailableError(repr(error), step="fetch-digests", peer=address) from error
 
 
 async def _read(session: ClientSession, url: str, seconds: float, step: str, peer: str) -> bytes:
@@ -169,7 +173,7 @@
             if response.status != 200:
                 reason = f"status {response.status}"
                 raise PlatformUnavailableError(reason, step=step, peer=peer)
-            return await response.read()
+            return await read_body(response, MAX_CHUNK_BYTES)
     except (ClientError, OSError, TimeoutError) as error:
         reason = str(error) or type(error).__name__
         raise PlatformUnavailableError(reason, step=step, peer=peer) from error
--- a/tests/platform/test_broken_peers.py
+++ b/tests/platform/test_broken_peers.py
@@ -1,6 +1,8 @@
-"""Tests of programs whose store, engine or other nodes send answers without end."""
+"""Tests of programs whose store, engine or other nodes send broken answers, or such without end."""
 
 import asyncio
+import base64
+import json
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -22,10 +24,50 @@
 ANSWERS_SEEN = 6
 """Broken answers after which a program must still run."""
 
+OK = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+
+def _answer(body: bytes) -> Pieces:
+    return send_once(OK + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+
+
+def _encode(value: Any) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
 ENDLESS = {
     "interim answers": send_without_end(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
 }
 
+BROKEN = {
+    "status 000": send_once(b"HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}"),
+    "no answer": send_once(b"\x00\x01\r\n\r\n"),
+    "no JSON": _answer(b"{"),
+    "bytes that are no text": _answer(b'{"a": "\xff"}'),
+    "nested too deeply": _answer(b"[" * 200_000),
+    "list": _answer(b"[]"),
+    "number": _answer(b"7"),
+    "null": _answer(b"null"),
+    "without fields": _answer(b"{}"),
+    "fields of other types": _answer(
+        b'{"items": 7, "events": {}, "storeRevision": [], "lease": {}, "running": [], "held": 7,'
+        b' "sequence": {}, "waiting": "x", "digests": 5, "models": 3, "revision": null}'
+    ),
+    "numbers out of range": _answer(
+        b'{"items": [], "events": [], "storeRevision": 1e400, "lease": 1e400, "running": 1e400,'
+        b' "waiting": NaN, "sequence": 1e400, "revision": NaN}'
+    ),
+    "items of other types": _answer(
+        b'{"items": [7], "events": [null], "storeRevision": 5, "truncated": true}'
+    ),
+    "items that are not encoded": _answer(
+        b'{"items": [{"key": 5, "value": 7, "revision": "x"}], "storeRevision": 5}'
+    ),
+    "items without a key": _answer(
+        b'{"items": [{"value": "AA==", "revision": 4}], "events": [{}], "storeRevision": 5}'
+    ),
+}
+
 
 class Program:
     """A program under test."""
@@ -100,6 +142,30 @@
     return {"version": 3, "routes": [], "services": services}
 
 
+@pytest.mark.parametrize("pieces", BROKEN.values(), ids=BROKEN)
+async def test_entry_node_outlives_broken_answers_of_the_store(
+    stack: AsyncExitStack, peer: BareEndpoint, tmp_path: Path, pieces: Pieces
+) -> None:
+    """Guards against an answer that ends the task which reads the store, and so the node."""
+    peer.pieces = pieces
+    program = await _start_entry(stack, tmp_path / "entry.toml", peer.address)
+    await program.watch(lambda: len(peer.received) >= ANSWERS_SEEN)
+
+
+@pytest.mark.parametrize("pieces", BROKEN.values(), ids=BROKEN)
+async def test_agent_outlives_broken_answers(
+    stack: AsyncExitStack, store: StandinStore, peer: BareEndpoint, tmp_path: Path, pieces: Pieces
+) -> None:
+    """Guards against an answer of the engine, or of the store, that ends the agent."""
+    peer.pieces = pieces
+    store.put("op/config", _configure_engines())
+    program = await _start_agent(stack, tmp_path / "agent.toml", store.address, peer.address)
+    await program.watch(lambda: len(peer.received) >= ANSWERS_SEEN)
+    seen = len(peer.received)
+    other = await _start_agent(stack, tmp_path / "other.toml", peer.address, peer.address)
+    await other.watch(lambda: len(peer.received) >= seen + ANSWERS_SEEN)
+
+
 @pytest.mark.parametrize("pieces", ENDLESS.values(), ids=ENDLESS)
 async def test_store_without_end_is_given_up(
     stack: AsyncExitStack, peer: BareEndpoint, tmp_path: Path, pieces: Pieces
@@ -132,6 +198,16 @@
     return await _start_entry(stack, path, store.address)
 
 
+@pytest.mark.parametrize("pieces", BROKEN.values(), ids=BROKEN)
+async def test_entry_node_outlives_broken_answers_of_other_nodes(
+    stack: AsyncExitStack, store: StandinStore, peer: BareEndpoint, tmp_path: Path, pieces: Pieces
+) -> None:
+    """Guards against another node's answer that ends a node."""
+    peer.pieces = pieces
+    program = await _start_beside_nodes(stack, store, peer, tmp_path / "entry.toml")
+    await program.watch(lambda: len(peer.received) >= ANSWERS_SEEN)
+
+
 @pytest.mark.parametrize("pieces", ENDLESS.values(), ids=ENDLESS)
 async def test_other_nodes_without_end_are_given_up(
     stack: AsyncExitStack, store: StandinStore, peer: BareEndpoint, tmp_path: Path, pieces: Pieces
