Bound the bodies of answers of the store, engines, agents and nodes

Cause: these were read by the library's own method, which holds whatever comes until the call's timeout. In 0.8 to 3 s that is gigabytes.

Lines of streams between nodes were bounded before.

The bound that the connection's class had for bodies goes, as no session used it: one connection may carry streams and documents. Its two tests are replaced by test_body_is_read_up_to_its_bound, with the same bound to the byte, for a length and for chunks.

What callers saw: nothing of theirs, up to the end of the process for its memory.

Why it holds: what is read is counted before it is held.

--- a/packages/wrenloft-core/src/wrenloft_core/_checked_connections.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_checked_connections.py
@@ -51,13 +51,11 @@
     The library raises an error for the whole segment in which it finds invalid bytes, also behind
     the end of a complete response. Here these wait until the response has been taken: they may be
     the next response, if that one was an extra one, and otherwise the connection is closed.
-
-    :param max_body_bytes: longest body, ``None`` if it is not bounded.
     """
 
-    def __init__(self, loop: Any, max_body_bytes: int | None = None) -> None:
+    def __init__(self, loop: Any) -> None:
         super().__init__(loop)
-        self._scanner = ResponseScanner(max_body_bytes)
+        self._scanner = ResponseScanner()
         self._behind = b""
         self._body: StreamReader | None = None
         self._is_overrun = False
@@ -140,14 +138,11 @@
 class CheckedConnector(TCPConnector):
     """Opens checked connections, as many as are needed.
 
-    :param max_body_bytes: longest body of a response, ``None`` if it is not bounded.
     :param keepalive_seconds: for which an unused connection is kept.
     """
 
-    def __init__(
-        self, *, max_body_bytes: int | None = None, keepalive_seconds: float = 15.0
-    ) -> None:
+    def __init__(self, *, keepalive_seconds: float = 15.0) -> None:
         super().__init__(limit=0, keepalive_timeout=keepalive_seconds)
         # There is no public way to name the class of connections.
-        factory: Any = partial(CheckedResponses, self._loop, max_body_bytes)
+        factory: Any = partial(CheckedResponses, self._loop)
         self._factory = factory
--- a/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
@@ -105,20 +105,17 @@
 class ResponseScanner:
     """Finds the end of each response on a connection, and what is invalid before it.
 
-    Interim responses are left out, as nobody waits for them.
-
-    :param max_body_bytes: longest body, ``None`` if it is not bounded.
+    Interim responses are left out, as nobody waits for them. Bodies are bounded by those who read
+    them.
     """
 
-    def __init__(self, max_body_bytes: int | None = None) -> None:
-        self._max_body_bytes = max_body_bytes
+    def __init__(self) -> None:
         self._part = _Part.NONE
         self._bodiless = False
         self._another = False
         self._held = bytearray()  # of a head, line or trailer section that is not whole
         self._checked = 0  # bytes of a held head that are known to be valid
         self._head_bytes = 0
-        self._body_bytes = 0
         self._left = 0  # bytes of a sized body or chunk
 
     @property
@@ -229,7 +226,6 @@
             raise _InvalidError(InvalidReason.SWITCHED, head)
         if status < _FIRST_FINAL_STATUS:
             return False
-        self._body_bytes = 0
         if self._bodiless or status in _BODILESS_STATUSES:
             self._end_response()
         else:
@@ -260,8 +256,6 @@
         if _LENGTH.fullmatch(value) is None:
             raise _InvalidError(InvalidReason.FRAMING, name + b": " + value)
         self._left = int(value)
-        if self._max_body_bytes is not None and self._left > self._max_body_bytes:
-            raise _InvalidError(InvalidReason.BODY_TOO_LONG, name + b": " + value)
         self._part = _Part.SIZED_BODY
         if not self._left:
             self._end_response()
@@ -269,7 +263,6 @@
     def _scan_body(self, data: bytes, position: int) -> int | None:
         """Scan one part of a body; return the position behind it, ``None`` if it is not whole."""
         if self._part is _Part.UNSIZED_BODY:
-            self._count_body(len(data) - position)
             return len(data)
         if self._part is _Part.CHUNK_LINE:
             return self._scan_chunk_line(data, position)
@@ -278,7 +271,6 @@
         if self._part is _Part.TRAILERS:
             return self._scan_trailers(data, position)
         end = min(len(data), position + self._left)
-        self._count_body(end - position)
         self._left -= end - position
         if not self._left and self._part is _Part.CHUNK:
             self._part = _Part.CHUNK_END
@@ -286,11 +278,6 @@
             self._end_response()
         return end
 
-    def _count_body(self, size: int) -> None:
-        self._body_bytes += size
-        if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:
-            raise _InvalidError(InvalidReason.BODY_TOO_LONG)
-
     def _scan_chunk_end(self, data: bytes, position: int) -> int | None:
         found = data[position : position + len(_LINE_END)]
         if not _LINE_END.startswith(found):
--- a/packages/wrenloft-core/tests/test_checked_connections.py
+++ b/packages/wrenloft-core/tests/test_checked_connections.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import ClientError, ClientSession
 
-from wrenloft_core import CheckedConnector, InvalidResponseError
+from wrenloft_core import CheckedConnector, InvalidResponseError, read_body, read_json
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
 PATIENCE_SECONDS = 20.0
@@ -152,20 +152,6 @@
         assert peer.connections == 1
 
 
-@pytest.mark.parametrize(
-    "framing", [b"Content-Length: 11\r\n", b"Transfer-Encoding: chunked\r\n", b""]
-)
-async def test_body_above_the_bound_is_an_error(framing: bytes) -> None:
-    """Guards against a body that is held without a bound, or cut and taken for whole."""
-    data = b"b\r\nxxxxxxxxxxx\r\n0\r\n\r\n" if b"chunked" in framing else 11 * b"x"
-    async with (
-        Peer([b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + data]).listen() as peer,
-        ClientSession(connector=CheckedConnector(max_body_bytes=10)) as session,
-    ):
-        with pytest.raises(InvalidResponseError, match="body too long"):
-            await _get(session, peer)
-
-
 async def test_invalid_response_names_nothing_of_itself() -> None:
     """Guards against errors that quote a peer to whom they are passed on."""
     async with (
@@ -176,3 +162,32 @@
             await _get(session, peer)
         assert str(raised.value) == "invalid status line"
         assert "Secret" in repr(raised.value)
+
+
+@pytest.mark.parametrize("size", [10, 11])
+@pytest.mark.parametrize("is_chunked", [False, True])
+async def test_body_is_read_up_to_its_bound(size: int, is_chunked: bool) -> None:
+    """Guards against a body that is held without a bound, or cut and taken for whole."""
+    body = size * b"x"
+    answer = _respond_chunked(body) if is_chunked else _respond(body)
+    async with (
+        Peer([answer]).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+        session.get(f"http://{peer.address}/") as response,
+    ):
+        if size > 10:
+            with pytest.raises(InvalidResponseError, match="body too long"):
+                await read_body(response, 10)
+        else:
+            assert await read_body(response, 10) == body
+
+
+async def test_json_without_end_of_nesting_is_a_value_error() -> None:
+    """Guards against an error that callers don't expect of a document."""
+    async with (
+        Peer([_respond(100_000 * b"[")]).listen() as peer,
+        ClientSession(connector=CheckedConnector()) as session,
+        session.get(f"http://{peer.address}/") as response,
+    ):
+        with pytest.raises(ValueError, match="nested"):
+            await read_json(response, 1_000_000)
--- a/packages/wrenloft-core/tests/test_response_framing.py
+++ b/packages/wrenloft-core/tests/test_response_framing.py
@@ -20,11 +20,9 @@
 NO_TOKEN = b'\x00\x01\t\x7f\xff "(),/;<=>?@[\\]{}'
 
 
-def _scan(
-    data: bytes, *, bodiless: bool = False, max_body_bytes: int | None = None, step: int = 0
-) -> Scanned:
+def _scan(data: bytes, *, bodiless: bool = False, step: int = 0) -> Scanned:
     """Scan data in pieces of ``step`` bytes, all at once if 0."""
-    scanner = ResponseScanner(max_body_bytes)
+    scanner = ResponseScanner()
     scanner.expect(bodiless=bodiless)
     step = step or max(1, len(data))
     valid = behind = b""
@@ -252,21 +250,6 @@
     assert len(scanned.invalid.excerpt) <= 80
 
 
-@pytest.mark.parametrize(
-    "data",
-    [
-        OK + b"Content-Length: 11\r\n\r\n",
-        OK + b"\r\n" + 11 * b"x",
-        OK + CHUNKED + b"\r\n6\r\nxxxxxx\r\n5\r\nxxxxx",
-    ],
-)
-def test_body_above_its_bound_is_refused(data: bytes) -> None:
-    scanned = _scan(data, max_body_bytes=10)
-    assert scanned.invalid is not None
-    assert scanned.invalid.reason is InvalidReason.BODY_TOO_LONG
-    assert _scan(data, max_body_bytes=11).invalid is None
-
-
 TOKENS = [
     b"HTTP/1.1 ",
     b"200",
--- a/tests/platform/test_broken_peers.py
+++ b/tests/platform/test_broken_peers.py
@@ -25,6 +25,7 @@
 """Broken answers after which a program must still run."""
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 def _answer(body: bytes) -> Pieces:
@@ -37,6 +38,10 @@
 
 ENDLESS = {
     "interim answers": send_without_end(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "body of chunks": send_without_end(
+        OK + CHUNKED + b"\r\n", b"4000\r\n" + 0x4000 * b" " + b"\r\n"
+    ),
+    "body without a length": send_without_end(OK + b"\r\n", b" "),
 }
 
 BROKEN = {
