Refuse a late request that can't end before its node does

What callers saw: in a planned stop, streams that need 4.7 s were passed on up to 1.4 s after the signal with a grace of 6 s, and got 502 at its end (the users' table; not played again here).

Cause: requests are accepted for 2.4 s after the signal, however long they take. The reason given was that one accepted later could not finish, which holds for a request of three seconds.

Change: while a node stops, a request is sent only if by the longest recent request of its rule it can end before the drain does; without one, only if its deadline does. It is refused at once, with Retry-After 0, and once more where it has waited for a place.

Why it holds: what is refused has not been sent, so that the refusal is true, and other nodes take it at once.

--- a/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_forward.py
@@ -37,6 +37,7 @@
 from wrenloft_routing._budget import SharedRetryBudget
 from wrenloft_routing._content import identify_content
 from wrenloft_routing._crash_guard import AnyQuarantine, CrashGuard
+from wrenloft_routing._durations import RequestDurations
 from wrenloft_routing._endings import give_up, send_failure, send_refusal
 from wrenloft_routing._endpoints import Endpoints, EndpointState
 from wrenloft_routing._events import Event
@@ -134,6 +135,7 @@
     :param open_attempt: sends one attempt and returns the head of the answer.
     :param request_grants: returns whether the rate limits of endpoints admit one request of an
         urgency; the lowest urgency goes first.
+    :ivar ends_by: when all answers have to be complete, as this node stops; infinite before.
     """
 
     def __init__(
@@ -149,6 +151,8 @@
         request_grants: RequestGrants = _grant_all,
     ) -> None:
         self.table: RoutingTable | None = None
+        self.ends_by = inf
+        self._durations = RequestDurations()
         self._endpoints = endpoints
         self._gate = gate
         self._budget = budget
@@ -208,7 +212,20 @@
             request, rule, service, organisation, rank, deadline, content, regions
         )
         progress.elapsed = self._estimate_elapsed(rule.name, caller_timeout)
-        return progress
+        return progress if self._can_end(progress) else _refuse_late()
+
+    def _can_end(self, progress: RequestProgress) -> bool:
+        """Return whether a request that is sent now can end before this node stops.
+
+        One that can't would be cut off, and may have run. Other nodes can serve it from the start.
+        """
+        if self.ends_by == inf:
+            return True
+        estimate = self._durations.estimate(progress.rule.name)
+        end = progress.deadline
+        if estimate is not None:
+            end = min(end, read_clock() + estimate)
+        return end <= self.ends_by
 
     def _estimate_elapsed(self, rule: str, caller_timeout: float) -> float:
         """Estimate the seconds since the caller's first attempt from its remaining timeout.
@@ -243,6 +260,8 @@
             placed = await self._place(progress)
             if isinstance(placed, Refused):
                 return give_up(progress, "place", placed, self._random)
+            if not progress.may_have_run and not self._can_end(progress):
+                return _refuse_late()
             if progress.is_probe or self._guard.find_refusal(progress.workload) is None:
                 self._start_attempt(progress, placed, attempts)
                 return None
@@ -645,6 +664,7 @@
     def _record_answer(
         self, progress: RequestProgress, attempt: AttemptProgress, status: int
     ) -> None:
+        self._durations.record(progress.rule.name, read_clock() - attempt.running.sent_at)
         incarnations = [each.endpoint.incarnation for each in attempt.placed.states]
         sent_at = attempt.running.sent_at
         self._guard.record_answer(progress.workload, incarnations, sent_at, status)
@@ -1062,6 +1082,10 @@
             self._gate.record_first_event(progress.service.name, in_time=in_time)
 
 
+def _refuse_late() -> NotRun:
+    return NotRun("admit", "this node is stopping", retry_after=0.0)
+
+
 def _release_chain(placed: Placed) -> None:
     for stage in placed.chain[1:]:
         stage.state.downstream_requests -= 1
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -247,6 +247,51 @@
         await running
 
 
+class TestLateRequests:
+    """Tests of requests that arrive after the stop signal."""
+
+    async def test_stream_that_can_not_end_in_time_is_refused_as_not_run(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a late stream that is passed on and cut off at the end of the grace."""
+        entry = await start()
+        endpoint.pause = GRACE_SECONDS / 10
+        endpoint.answers = [stream_response(*(b"id: %d\n\n" % n for n in range(10)))]
+        caller = await Caller.open(stack, entry)
+        caller.send("/stream/x", "known")
+        await caller.reader.readuntil(b"\r\n0\r\n\r\n")
+        endpoint.pause = 0.0
+        await self._stop_accepting(entry)
+        late, late_once = await Caller.open(stack, entry), await Caller.open(stack, entry)
+        late.send("/stream/x", "late")
+        late_once.send("/once/x", "late-once")
+        answer = await late.read_rest()
+        assert list_statuses(answer) == [503]
+        assert b"retry-after: 0.000\r\n" in answer.lower()
+        assert list_statuses(await late_once.read_rest()) == [200]
+        await stop(entry)
+        assert "late" not in {each.headers["x-attempt-id"] for each in endpoint.received}
+
+    async def test_request_of_unknown_length_is_refused_as_not_run(
+        self, stack: AsyncExitStack, start: Start, endpoint: StandinEndpoint
+    ) -> None:
+        """Guards against a late request whose rule allows more time than the node has."""
+        entry = await start()
+        await self._stop_accepting(entry)
+        caller = await Caller.open(stack, entry)
+        caller.send("/stream/x", "late")
+        assert list_statuses(await caller.read_rest()) == [503]
+        await stop(entry)
+        assert not endpoint.received
+
+    @staticmethod
+    async def _stop_accepting(entry: Entry) -> None:
+        entry.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while await entry.get_status("readiness", "/readyz") == 200:
+                await asyncio.sleep(0.01)
+
+
 class TestWaitingRequests:
     """Tests of requests that were read while others of the same connection are in progress."""
 
