--- a/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
+++ b/packages/wrenloft-routing/src/wrenloft_routing/_grants.py
@@ -114,6 +114,7 @@
                 f"http://{member.internal}{GRANTS_PATH}",
                 json=encode_grant_request(request),
                 timeout=ClientTimeout(total=GRANT_TIMEOUT_SECONDS),
+                allow_redirects=False,
             ) as response:
                 response.raise_for_status()
                 return decode_grant(await read_json(response, _MAX_GRANT_BYTES))
--- a/packages/wrenloft/src/wrenloft/agents/_client.py
+++ b/packages/wrenloft/src/wrenloft/agents/_client.py
@@ -101,7 +101,7 @@
         try:
             async with asyncio.timeout(seconds):
                 response = await self._session.request(
-                    method, url, data=body, headers={**headers, **own}
+                    method, url, data=body, headers={**headers, **own}, allow_redirects=False
                 )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             return Refused(f"never sent: {error}")
--- a/packages/wrenloft/tests/test_agent_client.py
+++ b/packages/wrenloft/tests/test_agent_client.py
@@ -125,3 +125,30 @@
             seen = follows
             await asyncio.sleep(0.5)
         assert follows == seen
+
+
+async def test_redirect_is_an_answer_and_sends_nothing_again() -> None:
+    """Guards against a request that may run once and runs again where its answer points."""
+    ran: list[str] = []
+
+    async def run(request: web.Request) -> web.Response:
+        ran.append(request.path)
+        headers = {**_HEADERS, Header.AGENT: _AGENT, "Location": "/run/y"}
+        return web.Response(status=307, headers=headers)
+
+    app = web.Application()
+    app.add_routes([web.post("/run/{rest}", run)])
+    runner = web.AppRunner(app)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{runner.addresses[0][1]}"
+        async with ClientSession() as session:
+            client = AgentClient(session, "secret")
+            answer = await client.send(_AGENT, address, _ID, "POST", "/x", {}, b"b", 30.0)
+            assert isinstance(answer, Answer)
+            assert answer.status == 307
+            answer.response.close()
+    finally:
+        await runner.cleanup()
+    assert ran == ["/run/x"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 from wrenloft_core import PlatformUnavailableError
 from wrenloft_platform._store import ConditionFailedError, HistoryLostError, StoreClient
 
-from .conftest import StandinStore
+from .conftest import StandinEndpoint, StandinStore
 
 
 @pytest.fixture
@@ -122,3 +122,14 @@
         store.era = 0
         store.put("a/1", 1)
         assert (await client.list("a/")).era == 0
+
+
+async def test_redirect_of_a_write_is_a_failed_call(
+    session: ClientSession, endpoint: StandinEndpoint
+) -> None:
+    """Guards against a write that is sent once more, to where an answer points."""
+    redirect = b"HTTP/1.1 307 Temporary Redirect\r\nLocation: /kv-txn\r\nContent-Length: 0\r\n\r\n"
+    endpoint.answers = [redirect] * 3
+    with pytest.raises(PlatformUnavailableError):
+        await StoreClient(session, endpoint.address).put("k", b"v", 1)
+    assert len(endpoint.received) == 1
