--- a/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
+++ b/packages/wrenloft-core/src/wrenloft_core/_response_framing.py
@@ -25,8 +25,6 @@
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*+"
 _FIELD_LINE = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:" + _TEXT + rb"\r?\n"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n")
-
-
 _FIELD_LINES = re.compile(rb"(?:" + _FIELD_LINE + rb")*+")
 _FIELD_SECTION = re.compile(rb"(?:" + _FIELD_LINE + rb")*+\r?\n")
 _EMPTY_LINES = re.compile(rb"[\r\n]*+")
